--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core border daemon operator bench
+STAMP := $(VENV)/.installed
+
+.PHONY: bench demo docs format lint slopes test
+
+$(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/dotterelgate-$(p)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
+		$(foreach p,$(PACKAGES),-e packages/dotterelgate-$(p))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m dotterelgate_bench.demo
+
+test: $(STAMP)
+	$(BIN)/python features/run.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages features
+	$(BIN)/ruff check packages features
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format packages features
+	$(BIN)/ruff check --fix packages features
--- /dev/null
+++ b/features/subjects/__init__.py
@@ -0,0 +1,1 @@
+"""Subjects of the features, a class for each."""
--- /dev/null
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers, and experiments."""
--- /dev/null
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
@@ -0,0 +1,256 @@
+"""Processes of a demo or proof: stand-ins and daemons on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import httpx
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["Fleet", "Process", "wait_until"]
+
+START_SECONDS = 15.0
+STOP_SECONDS = 5.0
+POLL_SECONDS = 0.02
+
+
+def wait_until(condition: Callable[[], bool], *, seconds: float, what: str) -> float:
+    """Wait until a condition holds.
+
+    :returns: seconds that it took
+    :raises TimeoutError: when it does not hold in time
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < seconds:
+        if condition():
+            return time.monotonic() - started
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f"not within {seconds} s: {what}")
+
+
+def find_free_address() -> str:
+    """Find a loopback address that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+@dataclass(kw_only=True)
+class Process:
+    """One process of the fleet.
+
+    :param address: where it serves
+    :param endpoint: where a daemon tells its status
+    :param peers: where a daemon hears others
+    """
+
+    name: str
+    address: str
+    arguments: list[str]
+    endpoint: str = ""
+    peers: str = ""
+    log_path: Path
+    popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it."""
+        with self.log_path.open("ab") as output:
+            self.popen = subprocess.Popen(self.arguments, stdout=output, stderr=output)
+
+    def send(self, signo: int) -> None:
+        """Send it a signal."""
+        assert self.popen is not None
+        os.kill(self.popen.pid, signo)
+
+    def kill(self) -> None:
+        """End it at once, frozen or not."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop its execution until :meth:`thaw`."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Continue its execution."""
+        self.send(signal.SIGCONT)
+
+    def has_ended(self) -> bool:
+        """Tell whether it has ended."""
+        return self.popen is None or self.popen.poll() is not None
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """A log, a VM list, backend servers and daemons, each a process of its own."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="fleet-")))
+    log: Process | None = None
+    vms: Process | None = None
+    daemons: dict[str, Process] = field(default_factory=dict)
+    servers: dict[str, Process] = field(default_factory=dict)
+    listed: dict[str, dict] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.client = httpx.Client(timeout=10, trust_env=False)
+
+    def start_platform(self) -> None:
+        """Start the log service and the list of VMs."""
+        self.log = self._start_stand_in("log", "log")
+        self.vms = self._start_stand_in("vms", "vms")
+        self._wait_for_port(self.log.address)
+        self._wait_for_port(self.vms.address)
+
+    def start_server(self, name: str, **options: Any) -> Process:
+        """Start a backend server; options are those of its stand-in command."""
+        words = [f"--{key.replace('_', '-')}={value}" for key, value in options.items()]
+        process = self._start_stand_in(name, "server", name, *words)
+        self.servers[name] = process
+        self.list_vm(name, role="server")
+        return process
+
+    def start_daemon(self, name: str, *, zone: str = "zone-1", **settings: Any) -> Process:
+        """Start a daemon; further settings override the defaults."""
+        old = self.daemons.get(name)
+        document = {
+            "name": name,
+            "zone": zone,
+            "callers": old.address if old else find_free_address(),
+            "peers": old.peers if old else find_free_address(),
+            "endpoint": old.endpoint if old else find_free_address(),
+            "log": self._need(self.log).address,
+            "vms": self._need(self.vms).address,
+            "log_poll": 0.1,
+            "vms_poll": 0.2,
+            **settings,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document), encoding="utf-8")
+        binary = Path(sys.executable).with_name("dotterelgated")
+        process = Process(
+            name=name,
+            address=document["callers"],
+            endpoint=document["endpoint"],
+            peers=document["peers"],
+            arguments=[str(binary), "--settings", str(path)],
+            log_path=self.folder / f"{name}.log",
+        )
+        process.start()
+        self.daemons[name] = process
+        self.list_vm(name, role="entry", address=process.peers)
+        return process
+
+    def wait_for_processes(self) -> None:
+        """Wait until every process that runs accepts connections."""
+        for process in [*self.servers.values(), *self.daemons.values()]:
+            if not process.has_ended():
+                self._wait_for_port(process.address)
+
+    def list_vm(self, name: str, *, role: str, address: str = "", state: str = "live") -> None:
+        """Set one VM of the platform's list."""
+        self.listed[name] = {"name": name, "role": role, "address": address, "state": state}
+        self._post_vms()
+
+    def set_vm_state(self, name: str, state: str) -> None:
+        """Set the state of a VM of the platform's list."""
+        self.listed[name]["state"] = state
+        self._post_vms()
+
+    def set_faults(self, process: Process, **faults: Any) -> None:
+        """Set faults of a stand-in."""
+        path = "/_faults" if process.name in self.servers else "/faults"
+        self.client.post(f"http://{process.address}{path}", json=faults).raise_for_status()
+
+    def read_ledger(self, name: str) -> dict:
+        """Read what a backend server ran."""
+        return self.client.get(f"http://{self.servers[name].address}/_ledger").json()
+
+    def read_status(self, name: str) -> dict | None:
+        """Read a daemon's status, ``None`` when it does not answer."""
+        try:
+            answer = self.client.get(f"http://{self.daemons[name].endpoint}/status", timeout=2)
+            return answer.json()
+        except (httpx.HTTPError, ValueError):
+            return None
+
+    def count_runs(self, key: str) -> int:
+        """Count how often the live backend servers ran a key."""
+        runs = 0
+        for name, process in self.servers.items():
+            if not process.has_ended():
+                runs += sum(entry["key"] == key for entry in self.read_ledger(name)["ran"])
+        return runs
+
+    def wait_for_revision(self, revision: int, *, seconds: float, names: list[str]) -> float:
+        """Wait until daemons have a revision in force; returns the seconds it took."""
+
+        def in_force() -> bool:
+            statuses = [self.read_status(name) for name in names]
+            return all(each is not None and each["revision"] >= revision for each in statuses)
+
+        return wait_until(in_force, seconds=seconds, what=f"revision {revision} on {names}")
+
+    def wait_for_holders(self, *, ranges: int, seconds: float) -> float:
+        """Wait until every range of keys has a holder among the daemons."""
+
+        def all_held() -> bool:
+            held = 0
+            for name, process in self.daemons.items():
+                status = None if process.has_ended() else self.read_status(name)
+                keys = [] if status is None else status["held"]
+                held += sum(each.startswith("keys/") for each in keys)
+            return held == ranges
+
+        return wait_until(all_held, seconds=seconds, what=f"{ranges} ranges held")
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        processes = [*self.daemons.values(), *self.servers.values()]
+        processes += [each for each in (self.log, self.vms) if each is not None]
+        for process in processes:
+            process.kill()
+        self.client.close()
+
+    def _start_stand_in(self, name: str, kind: str, *words: str) -> Process:
+        address = find_free_address()
+        arguments = [sys.executable, "-m", "dotterelgate_bench.stand_ins", kind]
+        process = Process(
+            name=name,
+            address=address,
+            arguments=[*arguments, f"--address={address}", *words],
+            log_path=self.folder / f"{name}.log",
+        )
+        process.start()
+        return process
+
+    def _post_vms(self) -> None:
+        document = {"vms": list(self.listed.values())}
+        address = self._need(self.vms).address
+        self.client.post(f"http://{address}/vms", json=document).raise_for_status()
+
+    def _wait_for_port(self, address: str) -> None:
+        host, port = address.split(":")
+
+        def accepts() -> bool:
+            with socket.socket() as sock:
+                return sock.connect_ex((host, int(port))) == 0
+
+        wait_until(accepts, seconds=START_SECONDS, what=f"{address} accepts connections")
+
+    @staticmethod
+    def _need(process: Process | None) -> Process:
+        assert process is not None, "start_platform comes first"
+        return process
--- /dev/null
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/platform.py
@@ -0,0 +1,134 @@
+"""Stand-ins for the platform's log service and list of VMs."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dotterelgate_bench.serving import StandIn, answer_json
+
+if TYPE_CHECKING:
+    from dotterelgate_bench.serving import Asked
+    from dotterelgate_daemon.streams import StreamService
+    from dotterelgate_daemon.timers import TimerService
+
+__all__ = ["LogFaults", "LogStandIn", "VmListStandIn"]
+
+
+@dataclass(kw_only=True)
+class LogFaults:
+    """Ways in which the log misbehaves, set with ``POST /faults``.
+
+    :param down: whether every request fails
+    :param delay: seconds by which every answer is late
+    :param lose_answers: appends that take effect but are answered with a failure
+    :param lose_appends: appends that fail without effect
+    :param retention: seconds for which records are kept
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    lose_appends: int = 0
+    retention: float = 3600.0
+
+
+class LogStandIn:
+    """Append-only log with offsets, limited retention and outages."""
+
+    def __init__(self, *, streams: StreamService, timers: TimerService, address: str) -> None:
+        self.faults = LogFaults()
+        self._timers = timers
+        self._records: deque[tuple[int, float, dict]] = deque()
+        self._next = 0
+        self._appends = 0
+        StandIn(streams=streams, address=address, answer=self._answer)
+
+    def _answer(self, asked: Asked) -> None:
+        if asked.path == "/faults":
+            if asked.head.method == "POST":
+                for name, value in json.loads(asked.body).items():
+                    setattr(self.faults, name, value)
+            answer_json(asked, {**self.faults.__dict__, "appends": self._appends})
+        elif self.faults.down:
+            answer_json(asked, {"error": "the log is down"}, status=503)
+        elif self.faults.delay:
+            self._timers.call_after(
+                delay=self.faults.delay, call=lambda: self._answer_records(asked)
+            )
+        else:
+            self._answer_records(asked)
+
+    def _answer_records(self, asked: Asked) -> None:
+        if asked.head.method == "POST":
+            self._append(asked)
+            return
+        start = int(asked.query.get("from", "0"))
+        limit = int(asked.query.get("limit", "500"))
+        answer_json(asked, self._read(start, limit))
+
+    def _append(self, asked: Asked) -> None:
+        if self.faults.lose_appends > 0:
+            self.faults.lose_appends -= 1
+            answer_json(asked, {"error": "not appended"}, status=503)
+            return
+        offset = self._next
+        self._next += 1
+        self._appends += 1
+        self._records.append((offset, time.monotonic(), json.loads(asked.body)))
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            answer_json(asked, {"error": "the answer is lost"}, status=504)
+            return
+        answer_json(asked, {"offset": offset})
+
+    def _read(self, start: int, limit: int) -> dict:
+        expired = time.monotonic() - self.faults.retention
+        while self._records and self._records[0][1] < expired:
+            self._records.popleft()
+        oldest = self._records[0][0] if self._records else self._next
+        first = max(0, start - oldest)
+        entries = [
+            {"offset": offset, "record": record}
+            for offset, _, record in list(self._records)[first : first + limit]
+        ]
+        after = oldest + first + len(entries) if entries else self._next
+        return {"entries": entries, "next": after, "oldest": oldest}
+
+
+@dataclass(kw_only=True)
+class VmListStandIn:
+    """List of live and leaving VMs that lags behind what was set.
+
+    ``POST /vms`` sets the list; ``POST /faults`` sets ``lag`` (seconds) and ``down``.
+    """
+
+    streams: StreamService
+    address: str
+    lag: float = 0.0
+    down: bool = False
+    versions: list[tuple[float, list[dict]]] = field(default_factory=lambda: [(0.0, [])])
+
+    def __post_init__(self) -> None:
+        StandIn(streams=self.streams, address=self.address, answer=self._answer)
+
+    def _answer(self, asked: Asked) -> None:
+        if asked.path == "/faults":
+            faults = json.loads(asked.body)
+            self.lag = faults.get("lag", self.lag)
+            self.down = faults.get("down", self.down)
+            answer_json(asked, {})
+        elif asked.head.method == "POST":
+            self.versions.append((time.monotonic(), json.loads(asked.body)["vms"]))
+            answer_json(asked, {})
+        elif self.down:
+            answer_json(asked, {"error": "the list is down"}, status=503)
+        else:
+            answer_json(asked, {"vms": self._find_version()})
+
+    def _find_version(self) -> list[dict]:
+        seen = [vms for at, vms in self.versions if at <= time.monotonic() - self.lag]
+        return seen[-1] if seen else []
--- /dev/null
+++ b/packages/dotterelgate-border/src/dotterelgate_border/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of everything that enters or leaves a process."""
--- /dev/null
+++ b/packages/dotterelgate-border/src/dotterelgate_border/checking.py
@@ -0,0 +1,73 @@
+"""Errors that name the file, the key and the cure."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["InvalidDocumentError", "Model", "check_document", "read_document"]
+
+AnyModel = TypeVar("AnyModel", bound=BaseModel)
+
+
+class Model(BaseModel):
+    """Base of all validated models: unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InvalidDocumentError(Exception):
+    """A document that cannot be accepted.
+
+    :param problems: one line for each wrong value
+    """
+
+    def __init__(self, *, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+def read_document(path: Path, model: type[AnyModel]) -> AnyModel:
+    """Read a JSON file and check it.
+
+    :raises InvalidDocumentError: with a line for each problem
+    """
+    try:
+        document = json.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        cure = "name a file that can be read"
+        raise InvalidDocumentError(problems=[f"{path}: {error.strerror}; {cure}"]) from error
+    except ValueError as error:
+        raise InvalidDocumentError(
+            problems=[f"{path}: not valid JSON: {error}; correct the file"]
+        ) from error
+    return check_document(document, model, source=str(path))
+
+
+def check_document(document: object, model: type[AnyModel], *, source: str) -> AnyModel:
+    """Check a decoded JSON document.
+
+    :param source: name used in the error lines
+    :raises InvalidDocumentError: with a line for each problem
+    """
+    try:
+        return model.model_validate(document)
+    except ValidationError as error:
+        raise InvalidDocumentError(
+            problems=[_explain(source, each) for each in error.errors()]
+        ) from error
+
+
+def _explain(source: str, problem) -> str:  # type: ignore[no-untyped-def]
+    key = ".".join(str(part) for part in problem["loc"]) or "the document"
+    message = problem["msg"].removeprefix("Value error, ")
+    if problem["type"] == "missing":
+        return f"{source}: {key}: missing; add it"
+    if problem["type"] == "extra_forbidden":
+        return f"{source}: {key}: not a known key; remove it or correct its spelling"
+    return f"{source}: {key}: {message}; got {problem['input']!r}"
--- /dev/null
+++ b/packages/dotterelgate-border/src/dotterelgate_border/handover.py
@@ -0,0 +1,173 @@
+"""Messages between daemons, in MessagePack by a library."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = [
+    "AnswerPart",
+    "ConfigurationOffer",
+    "HandedCall",
+    "HandedKey",
+    "HandedKeys",
+    "KeysTaken",
+    "LeavingNotice",
+    "PeerMessage",
+    "Ping",
+    "Pong",
+    "Withdrawal",
+    "decode_message",
+    "encode_message",
+]
+
+
+class _Message(msgspec.Struct, frozen=True, tag=True, array_like=True, kw_only=True):
+    """Base of all peer messages.
+
+    :param sender: name of the daemon that sent it
+    :param incarnation: which run of that daemon
+    """
+
+    sender: str
+    incarnation: str
+
+
+class HandedCall(_Message, frozen=True):
+    """A whole request.
+
+    :param target: name of the daemon that it is meant for
+    :param call_id: id in the sending daemon
+    :param purpose: ``hold`` or ``own``
+    :param timeout: seconds left to the caller
+    :param sent_wall: wall-clock second of sending
+    """
+
+    target: str
+    call_id: int
+    purpose: str
+    timeout: float
+    sent_wall: float
+    fence: float | None
+    retried: bool
+    method: str
+    path: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    key: str | None
+    fingerprint: int
+
+
+class AnswerPart(_Message, frozen=True):
+    """A part of the answer to a handed call; the first has the status.
+
+    :param part: number of the part, from 0
+    :param last: whether the answer is whole with this part
+    :param code: result code when the peer refused
+    :param cut: whether the answer ended before it was whole
+    """
+
+    call_id: int
+    part: int
+    last: bool
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b""
+    code: int = 0
+    reason: str = ""
+    attempt_only: bool = False
+    cut: bool = False
+    length: int | None = None
+    server: str = ""
+
+
+class Withdrawal(_Message, frozen=True):
+    """The caller of a handed call left."""
+
+    call_id: int
+
+
+class Ping(_Message, frozen=True):
+    """Question whether a peer still works."""
+
+
+class Pong(_Message, frozen=True):
+    """Answer to :class:`Ping`."""
+
+
+class LeavingNotice(_Message, frozen=True):
+    """A sign that a backend server or the sending daemon is leaving."""
+
+    server: str = ""
+
+
+class ConfigurationOffer(_Message, frozen=True):
+    """The configuration in force at the sender, as JSON; empty asks for it."""
+
+    id: str = ""
+    revision: int = 0
+    document: bytes = b""
+
+
+class HandedKey(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """One settled or unknown key of a range that is handed over."""
+
+    digest: bytes
+    fingerprint: bytes
+    state: str
+    age: float
+    kept: bytes | None
+    code: int
+
+
+class HandedKeys(_Message, frozen=True):
+    """All keys of a range, before its lease is granted to the receiver.
+
+    :param transfer: id of the grant that will follow
+    :param history_age: seconds since keys may have run elsewhere, if they may
+    """
+
+    target: str
+    resource: str
+    transfer: str
+    history_from: float | None
+    history_left: float
+    keys: list[HandedKey]
+
+
+class KeysTaken(_Message, frozen=True):
+    """Answer to :class:`HandedKeys`."""
+
+    resource: str
+    transfer: str
+
+
+PeerMessage = (
+    HandedCall
+    | AnswerPart
+    | Withdrawal
+    | Ping
+    | Pong
+    | LeavingNotice
+    | ConfigurationOffer
+    | HandedKeys
+    | KeysTaken
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Encode a message for the wire."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> PeerMessage | None:
+    """Decode and check a message.
+
+    :returns: ``None`` when the bytes are not a valid message
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -0,0 +1,76 @@
+"""Calls in progress in this daemon."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dotterelgate_core.messages import Call, CallRouted
+
+__all__ = ["CallState", "CallTable"]
+
+
+@dataclass(kw_only=True, slots=True)
+class CallState:
+    """One call in progress.
+
+    :param routed: the call with its route and time limit
+    :param server: backend server that it was sent to
+    :param sent_at: monotonic second of that dispatch
+    :param hedge: second backend server, while both work on it
+    :param peer: peer that it was handed to
+    :param attempts: dispatches so far
+    :param avoided: backend servers that failed it
+    :param digest: digest of the key that this daemon holds for it
+    :param fence: wall-clock second after which it must not start
+    :param local: whether it must not be handed to an owner
+    :param caller_left: whether nobody waits for the answer any more
+    :param queued: whether it waits for a slot
+    :param joined: whether it waits for the answer to another call with its key
+    """
+
+    routed: CallRouted
+    server: str | None = None
+    sent_at: float = 0.0
+    hedge: str | None = None
+    peer: str | None = None
+    attempts: int = 0
+    avoided: set[str] = field(default_factory=set)
+    digest: int | None = None
+    fence: float | None = None
+    local: bool = False
+    caller_left: bool = False
+    queued: bool = False
+    joined: bool = False
+
+    @property
+    def call(self) -> Call:
+        """The call itself."""
+        return self.routed.call
+
+
+@dataclass(kw_only=True, slots=True)
+class CallTable:
+    """All calls in progress, and their time limits in order."""
+
+    states: dict[int, CallState] = field(default_factory=dict)
+    deadlines: list[tuple[float, int]] = field(default_factory=list)
+
+    def add(self, routed: CallRouted) -> CallState:
+        """Add a call that was just routed."""
+        state = CallState(routed=routed)
+        self.states[routed.call.id] = state
+        heapq.heappush(self.deadlines, (routed.deadline, routed.call.id))
+        return state
+
+    def pop_due(self, now: float) -> list[CallState]:
+        """Take out the calls whose time limit passed; they stay in ``states``."""
+        due = []
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, call_id = heapq.heappop(self.deadlines)
+            state = self.states.get(call_id)
+            if state is not None:
+                due.append(state)
+        return due
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/chain.py
@@ -0,0 +1,145 @@
+"""The rule by which the log's order alone decides between competing records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+__all__ = ["Chain", "Link"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Link:
+    """A record that wants to follow another one.
+
+    :param id: unique id that the writer chose
+    :param previous: id of the record it follows, or ``None`` for none
+    :param offset: its place in the log
+    :param read_to: the writer had read every record below this offset
+    :param oldest: oldest offset that the log retained as the writer saw it
+    :param body: what the record carries
+    """
+
+    id: str
+    previous: str | None
+    offset: int
+    read_to: int
+    oldest: int
+    body: Any
+
+
+@dataclass(kw_only=True, slots=True)
+class Chain:
+    """The accepted record of one resource, as every reader of the log sees it.
+
+    The first record in log order that names the accepted one as its previous
+    is accepted; all others are ignored. A reader that starts in the middle of
+    the log cannot judge the first records it meets. It keeps them until one
+    record proves what was accepted: a writer only names a record that it knows
+    to be accepted.
+
+    :param start: first offset that this reader has read
+    :param known: whether the accepted record is known
+    :param current: the accepted record, if there is one
+    :param unjudged: records read while nothing was known, by id
+    """
+
+    start: int = 0
+    known: bool = False
+    current: Link | None = None
+    unjudged: dict[str, Link] = field(default_factory=dict)
+
+    def begin(self, *, start: int) -> None:
+        """Begin reading at ``start``; at offset 0 nothing can have been missed."""
+        self.start = start
+        self.known = start == 0
+        self.current = None
+        self.unjudged = {}
+
+    def read(self, link: Link) -> bool:
+        """Take the next record in log order.
+
+        :returns: whether it was accepted
+        """
+        if self.known:
+            return self._judge(link)
+        if link.read_to >= self.start and not self._is_doubtful(link):
+            self._settle(link.previous, since=link.read_to)
+            return self._judge(link)
+        if link.previous in self.unjudged:
+            self._settle(link.previous, since=self.unjudged[link.previous].offset + 1)
+            return self._judge(link)
+        self.unjudged.setdefault(link.id, link)
+        return False
+
+    def confirm(self, link: Link) -> None:
+        """Take a statement that ``link`` was accepted as of its ``read_to``."""
+        if self.known or link.read_to < self.start:
+            return
+        self._settle(link.id, since=link.read_to, accepted=link)
+
+    def expire(self, *, oldest: int) -> None:
+        """Forget unjudged records that the log no longer retains."""
+        gone = [key for key, link in self.unjudged.items() if link.offset < oldest]
+        for key in gone:
+            del self.unjudged[key]
+
+    def _is_doubtful(self, link: Link) -> bool:
+        # A writer that names no previous record has seen none, yet a reader
+        # with a longer memory may know one that an unjudged record follows.
+        if link.previous is not None:
+            return False
+        return any(
+            other.previous is not None
+            for other in self.unjudged.values()
+            if other.offset >= link.read_to
+        )
+
+    def _settle(self, accepted_id: str | None, *, since: int, accepted: Link | None = None) -> None:
+        waiting = sorted(self.unjudged.values(), key=lambda link: link.offset)
+        self.current = accepted or self._find(accepted_id)
+        self.known = True
+        self.unjudged = {}
+        for link in waiting:
+            if link.offset >= since:
+                self._judge(link)
+
+    def _find(self, accepted_id: str | None) -> Link | None:
+        if accepted_id is None:
+            return None
+        if accepted_id in self.unjudged:
+            return self.unjudged[accepted_id]
+        return Link(
+            id=accepted_id,
+            previous=None,
+            offset=self.start - 1,
+            read_to=0,
+            oldest=0,
+            body=None,
+        )
+
+    def _judge(self, link: Link) -> bool:
+        if self._is_unjudgeable(link):
+            self.known = False
+            self.current = None
+            self.unjudged = {link.id: link}
+            return False
+        if not self._follows(link):
+            return False
+        self.current = link
+        return True
+
+    def _follows(self, link: Link) -> bool:
+        if self.current is None:
+            return link.previous is None
+        if link.previous == self.current.id:
+            return True
+        return link.previous is None and self.current.offset < link.oldest
+
+    def _is_unjudgeable(self, link: Link) -> bool:
+        # The accepted record lies before the start, so whether it was still
+        # retained when the writer looked cannot be told.
+        current = self.current
+        if current is None or current.offset >= self.start or link.previous is not None:
+            return False
+        return 0 < link.oldest < self.start
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control.py
@@ -0,0 +1,353 @@
+"""The pipeline from what the log and the platform say to what is in force here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from dotterelgate_core.messages import Decision, SlotFreed
+from dotterelgate_core.peers import Peer
+from dotterelgate_core.pipes import connect
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelgate_core.chain import Link
+    from dotterelgate_core.configuration import Configuration
+    from dotterelgate_core.leases import Claim
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.state import DaemonState
+
+__all__ = [
+    "AppendClaims",
+    "AppendConfirmation",
+    "ConfigurationChanged",
+    "ConfigurationHeard",
+    "ControlTicked",
+    "GrantRead",
+    "LeavingHeard",
+    "LogRead",
+    "ReadingBegan",
+    "VmsRead",
+    "make_control_pipeline",
+]
+
+CONFIGURATION_RESOURCE = "configuration"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadingBegan:
+    """Reading the log begins, or begins again after records were lost."""
+
+    now: float
+    start: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PublicationRead:
+    """A configuration stands on the log; the link's body is it."""
+
+    now: float
+    link: Link
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfirmationRead:
+    """A daemon's statement of the configuration in force stands on the log."""
+
+    now: float
+    link: Link
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationHeard:
+    """A peer has this configuration in force."""
+
+    now: float
+    peer: str
+    configuration: Configuration
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantRead:
+    """A grant stands on the log; the link's body is it."""
+
+    now: float
+    link: Link
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogRead:
+    """All records below ``read_to`` have been read."""
+
+    now: float
+    read_to: int
+    oldest: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingHeard:
+    """A source says that a backend server is leaving."""
+
+    now: float
+    server: str
+    source: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Vm:
+    """One VM of the platform's list."""
+
+    name: str
+    is_entry: bool
+    zone: str
+    address: str
+    state: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VmsRead:
+    """The platform's list of VMs, which lags."""
+
+    now: float
+    vms: tuple[Vm, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlTicked:
+    """Time passed; leases and confirmations may be due."""
+
+    now: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AppendClaims:
+    """Order to append grants to the log in one record."""
+
+    claims: tuple[Claim, ...]
+    read_to: int
+    oldest: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AppendConfirmation:
+    """Order to append the configuration in force to the log again."""
+
+    configuration: Configuration
+    read_to: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationChanged:
+    """A newer configuration is in force here."""
+
+    now: float
+    configuration: Configuration
+    source: str
+
+
+@dataclass(kw_only=True, slots=True)
+class LogPosition:
+    """How far this daemon has read the log, and what it appended last.
+
+    :param confirm_interval: seconds between confirmations of the configuration
+    """
+
+    confirm_interval: float
+    read_to: int | None = None
+    oldest: int = 0
+    confirmed_offset: int = -1
+    confirmed_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    signs: dict[str, set[str]] = field(default_factory=dict)
+
+
+def make_control_pipeline(
+    state: DaemonState, position: LogPosition, resources: list[str]
+) -> Filter:
+    """Make the pipeline of everything that is not about one call.
+
+    It writes ``AppendClaims``, ``AppendConfirmation``, ``ConfigurationChanged``,
+    ``SlotFreed`` and ``Decision``.
+
+    :param resources: names of all leased resources
+    """
+    return connect(
+        _make_position_filter(state, position, resources),
+        _make_configuration_filter(state, position),
+        _make_lease_filter(state),
+        _make_leaving_filter(state),
+        _make_vms_filter(state),
+        _make_claim_filter(state, position),
+        _make_confirmation_filter(state, position),
+    )
+
+
+def _make_position_filter(
+    state: DaemonState, position: LogPosition, resources: list[str]
+) -> Filter:
+    def follow(message: Message) -> Iterable[Message]:
+        if isinstance(message, ReadingBegan):
+            state.leases.begin(resources=resources, start=message.start, now=message.now)
+            state.configuration.chain.begin(start=message.start)
+            position.read_to = None
+            return ()
+        if isinstance(message, LogRead):
+            position.read_to = message.read_to
+            position.oldest = message.oldest
+            return ()
+        return (message,)
+
+    return follow
+
+
+def _make_configuration_filter(state: DaemonState, position: LogPosition) -> Filter:
+    def configure(message: Message) -> Iterable[Message]:
+        if isinstance(message, PublicationRead):
+            changed = state.configuration.read_publication(message.link)
+            if changed:
+                position.confirmed_offset = message.link.offset
+            return _announce(state, message.now, "the log", changed=changed)
+        if isinstance(message, ConfirmationRead):
+            changed = state.configuration.read_confirmation(message.link)
+            if _confirms_current(state, message.link):
+                position.confirmed_offset = message.link.offset
+                position.confirmed_at = message.now
+            return _announce(state, message.now, "a confirmation", changed=changed)
+        if isinstance(message, ConfigurationHeard):
+            changed = state.configuration.take_from_peer(message.configuration)
+            return _announce(state, message.now, message.peer, changed=changed)
+        return (message,)
+
+    return configure
+
+
+def _confirms_current(state: DaemonState, link: Link) -> bool:
+    current = state.configuration.current
+    return current is not None and current.id == link.id
+
+
+def _announce(state: DaemonState, now: float, source: str, *, changed: bool) -> list[Message]:
+    current = state.configuration.current
+    if not changed or current is None:
+        return []
+    warm = not state.servers.states
+    state.servers.follow_configuration(current.services, warm=warm)
+    sentence = f"revision {current.revision} is in force, learned from {source}"
+    changes: list[Message] = [
+        ConfigurationChanged(now=now, configuration=current, source=source),
+        Decision(part="control", sentence=sentence),
+    ]
+    changes.extend(SlotFreed(now=now, service=service.name) for service in current.services)
+    return changes
+
+
+def _make_lease_filter(state: DaemonState) -> Filter:
+    def lease(message: Message) -> Iterable[Message]:
+        if not isinstance(message, GrantRead):
+            return (message,)
+        grant: Any = message.link.body
+        if not state.leases.read(message.link, message.now):
+            return ()
+        sentence = f"{grant.resource} is granted to {grant.holder}"
+        return (Decision(part="control", sentence=sentence, target=grant.holder),)
+
+    return lease
+
+
+def _make_leaving_filter(state: DaemonState) -> Filter:
+    def leave(message: Message) -> Iterable[Message]:
+        if not isinstance(message, LeavingHeard):
+            return (message,)
+        server = state.servers.states.get(message.server)
+        if server is None or message.source in server.leaving:
+            return ()
+        server.leaving.add(message.source)
+        sentence = f"{message.server} is leaving, says {message.source}; no new work for it"
+        return (Decision(part="control", sentence=sentence, target=message.server),)
+
+    return leave
+
+
+def _make_vms_filter(state: DaemonState) -> Filter:
+    def list_vms(message: Message) -> Iterable[Message]:
+        if not isinstance(message, VmsRead):
+            return (message,)
+        _follow_entries(state, message)
+        return _follow_servers(state, message)
+
+    return list_vms
+
+
+def _follow_entries(state: DaemonState, read: VmsRead) -> None:
+    for vm in read.vms:
+        if not vm.is_entry or vm.name == state.name:
+            continue
+        if vm.state == "gone":
+            state.peers.listed.pop(vm.name, None)
+            state.peers.gone.add(vm.name)
+            continue
+        state.peers.gone.discard(vm.name)
+        peer = state.peers.listed.get(vm.name)
+        if peer is None or peer.address != vm.address:
+            peer = Peer(name=vm.name, address=vm.address, zone=vm.zone, heard_at=read.now)
+            state.peers.listed[vm.name] = peer
+        peer.leaving = peer.leaving or vm.state == "leaving"
+
+
+def _follow_servers(state: DaemonState, read: VmsRead) -> list[Message]:
+    messages: list[Message] = []
+    for vm in read.vms:
+        server = state.servers.states.get(vm.name)
+        if vm.is_entry or server is None:
+            continue
+        if vm.state == "live":
+            server.leaving.discard("the platform")
+        elif "the platform" not in server.leaving:
+            server.leaving.add("the platform")
+            sentence = f"{vm.name} is {vm.state}, says the platform; no new work for it"
+            messages.append(Decision(part="control", sentence=sentence, target=vm.name))
+    return messages
+
+
+def _make_claim_filter(state: DaemonState, position: LogPosition) -> Filter:
+    def claim(message: Message) -> Iterable[Message]:
+        if not isinstance(message, ControlTicked) or position.read_to is None:
+            return (message,)
+        usable = state.peers.select_usable(message.now)
+        due = state.leases.select_due(message.now, usable, state.peers.gone, position.oldest)
+        if not due:
+            return (message,)
+        claims = tuple(state.leases.prepare(resource, message.now) for resource in due)
+        order = AppendClaims(claims=claims, read_to=position.read_to, oldest=position.oldest)
+        return (order, message)
+
+    return claim
+
+
+def _make_confirmation_filter(state: DaemonState, position: LogPosition) -> Filter:
+    def confirm(message: Message) -> Iterable[Message]:
+        if not isinstance(message, ControlTicked):
+            return (message,)
+        if not _is_confirmation_due(state, position, message.now):
+            return ()
+        position.asked_at = message.now
+        current = state.configuration.current
+        assert current is not None and position.read_to is not None
+        return (AppendConfirmation(configuration=current, read_to=position.read_to),)
+
+    return confirm
+
+
+def _is_confirmation_due(state: DaemonState, position: LogPosition, now: float) -> bool:
+    chain = state.configuration.chain
+    current = state.configuration.current
+    if position.read_to is None or not chain.known or current is None or chain.current is None:
+        return False
+    if chain.current.id != current.id or now - position.asked_at < 1.0:
+        return False
+    if not state.leases.holds(CONFIGURATION_RESOURCE, now):
+        return False
+    if position.confirmed_offset < position.oldest:
+        return True
+    return now - max(position.confirmed_at, position.asked_at) >= position.confirm_interval
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -0,0 +1,51 @@
+"""The pipeline of one daemon's request decisions, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.admission import make_admission_filter
+from dotterelgate_core.binding import make_binding_filter
+from dotterelgate_core.holding import make_holding_filter, make_key_settling_filter
+from dotterelgate_core.owning import make_owning_filter
+from dotterelgate_core.pipes import connect
+from dotterelgate_core.policies import make_policies
+from dotterelgate_core.routes import make_route_filter
+from dotterelgate_core.settling import (
+    make_finishing_filter,
+    make_observing_filter,
+    make_settling_filter,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from dotterelgate_core.pipes import Filter
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["make_request_pipeline"]
+
+
+def make_request_pipeline(state: DaemonState, random: Random) -> Filter:
+    """Make the pipeline from what happens to a call to the orders for it.
+
+    It reads ``CallArrived``, ``CallerLeft``, ``Answered``, ``DispatchFailed``,
+    ``PeerAnswered``, ``PeerFailed``, ``SlotFreed`` and ``Ticked``. It writes
+    ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``, ``Replay``,
+    ``CallRefused`` and ``Decision``.
+
+    :param state: the daemon's state
+    :param random: source of random choices between equal backend servers
+    """
+    policies = make_policies(random)
+    return connect(
+        make_route_filter(state),
+        make_observing_filter(state),
+        make_settling_filter(state),
+        make_holding_filter(state),
+        make_owning_filter(state, policies),
+        make_admission_filter(state),
+        make_key_settling_filter(state),
+        make_binding_filter(state, policies),
+        make_finishing_filter(state),
+    )
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/holding.py
@@ -0,0 +1,280 @@
+"""Filter that lets each idempotency key run at most once."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Refusal, speak_for_attempt
+from dotterelgate_core.keys import (
+    KeyEntry,
+    KeyRange,
+    KeyState,
+    digest_key,
+    find_range,
+    read_key_time,
+)
+from dotterelgate_core.messages import (
+    CallParked,
+    CallRefused,
+    CallRouted,
+    Decision,
+    Forward,
+    Purpose,
+    Replay,
+    Settled,
+    Ticked,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelgate_core.calls import CallState
+    from dotterelgate_core.leases import Tenure
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["make_holding_filter", "make_key_settling_filter"]
+
+
+def make_holding_filter(state: DaemonState) -> Filter:
+    """Make the filter that sends keyed calls through their one holder."""
+    parked: dict[int, CallRouted] = {}
+
+    def hold(message: Message) -> Iterable[Message]:
+        if isinstance(message, CallRouted):
+            return _hold_call(state, parked, message)
+        if isinstance(message, CallParked):
+            return _park_again(state, parked, message)
+        if isinstance(message, Ticked):
+            return [*_retry_parked(state, parked, message.now), message]
+        return (message,)
+
+    return hold
+
+
+def make_key_settling_filter(state: DaemonState) -> Filter:
+    """Make the filter that notes what became of each key and tells joined calls."""
+
+    def settle(message: Message) -> Iterable[Message]:
+        if isinstance(message, Settled):
+            return _settle_key(state, message)
+        return (message,)
+
+    return settle
+
+
+def needs_holder(routed: CallRouted) -> bool:
+    """Tell whether a call runs under the protection of its key."""
+    call = routed.call
+    return call.key is not None and not routed.route.idempotent and call.holder is None
+
+
+def _hold_call(
+    state: DaemonState, parked: dict[int, CallRouted], routed: CallRouted
+) -> list[Message]:
+    call = routed.call
+    call_state = state.calls.states[call.id]
+    if not needs_holder(routed) or call_state.digest is not None:
+        return [routed]
+    if call.streamed:
+        refusal = Refusal(codes.BODY_TOO_LARGE, "a request with a key must fit the body limit")
+        return [CallRefused(call_id=call.id, refusal=speak_for_attempt(refusal))]
+    digest = digest_key(routed.service.name, call.key or "")
+    resource = find_range(digest, state.limits.key_ranges)
+    if state.leases.holds(resource, routed.now):
+        return _claim_key(state, routed, call_state, resource, digest)
+    holder = _find_other_holder(state, resource, routed.now)
+    if holder is None or call.purpose is Purpose.HOLD:
+        return _park(state, parked, routed, resource)
+    call_state.peer = holder
+    return [
+        Forward(
+            call_id=call.id,
+            peer=holder,
+            purpose=Purpose.HOLD,
+            deadline=routed.deadline,
+            fence=None,
+        ),
+        Decision(
+            part="holding",
+            sentence=f"{resource} is held by {holder}; handing the call over",
+            call_id=call.id,
+            service=routed.service.name,
+            target=holder,
+        ),
+    ]
+
+
+def _find_other_holder(state: DaemonState, resource: str, now: float) -> str | None:
+    grant = state.leases.find_holder(resource)
+    if grant is None or grant.holder == state.name or grant.holder in state.peers.gone:
+        return None
+    return grant.holder if state.peers.can_use(grant.holder, now) else None
+
+
+def _park(
+    state: DaemonState, parked: dict[int, CallRouted], routed: CallRouted, resource: str
+) -> list[Message]:
+    call = routed.call
+    arrived = state.calls.states[call.id].routed.now
+    if routed.now - arrived < state.limits.holder_wait and call.purpose is None:
+        parked[call.id] = routed
+        return []
+    refusal = Refusal(codes.NO_HOLDER, f"no daemon holds {resource} at the moment")
+    return [CallRefused(call_id=call.id, refusal=refusal)]
+
+
+def _park_again(
+    state: DaemonState, parked: dict[int, CallRouted], message: CallParked
+) -> list[Message]:
+    routed = replace(state.calls.states[message.call_id].routed, now=message.now)
+    return _park(state, parked, routed, "the key's range")
+
+
+def _retry_parked(state: DaemonState, parked: dict[int, CallRouted], now: float) -> list[Message]:
+    messages: list[Message] = []
+    for call_id, routed in list(parked.items()):
+        del parked[call_id]
+        if call_id not in state.calls.states:
+            continue
+        again = replace(routed, now=now, wall=routed.wall + (now - routed.now))
+        messages.extend(_hold_call(state, parked, again))
+    return messages
+
+
+def _claim_key(
+    state: DaemonState,
+    routed: CallRouted,
+    call_state: CallState,
+    resource: str,
+    digest: int,
+) -> list[Message]:
+    key_range = _open_range(state, resource, routed)
+    entry = key_range.entries.get(digest)
+    if entry is not None:
+        return _answer_from_entry(routed, call_state, entry)
+    refusal = _refuse_key(state, key_range, routed)
+    if refusal is not None:
+        return [CallRefused(call_id=routed.call.id, refusal=refusal)]
+    key_range.entries[digest] = KeyEntry(
+        state=KeyState.RUNNING,
+        fingerprint=routed.call.fingerprint,
+        seen_at=routed.now,
+        call_id=routed.call.id,
+    )
+    state.keys.size += 1
+    call_state.digest = digest
+    call_state.fence = _find_fence(state, routed, resource)
+    return [routed]
+
+
+def _find_fence(state: DaemonState, routed: CallRouted, resource: str) -> float:
+    remaining = state.leases.leases[resource].ends_at - routed.now
+    return routed.wall + remaining - state.limits.clock_error
+
+
+def _open_range(state: DaemonState, resource: str, routed: CallRouted) -> KeyRange:
+    tenure = state.leases.leases[resource].tenure
+    assert tenure is not None
+    key_range = state.keys.ranges.setdefault(resource, KeyRange())
+    if key_range.tenure == tenure.id:
+        return key_range
+    if tenure.transfer is None or key_range.tenure != tenure.transfer:
+        key_range.entries = {}
+        key_range.history_from = _find_history(state, routed, tenure)
+        key_range.history_until = tenure.since + state.keys.retention
+    key_range.tenure = tenure.id
+    return key_range
+
+
+def _find_history(state: DaemonState, routed: CallRouted, tenure: Tenure) -> float | None:
+    if tenure.history_known:
+        return None
+    taken_over_at = routed.wall - (routed.now - tenure.since)
+    return taken_over_at + state.limits.clock_error
+
+
+def _refuse_key(state: DaemonState, key_range: KeyRange, routed: CallRouted) -> Refusal | None:
+    if state.keys.size >= state.keys.limit:
+        return Refusal(codes.KEYS_FULL, "the table of idempotency keys is full")
+    made_at = read_key_time(routed.call.key or "")
+    error = state.limits.clock_error
+    if made_at is None:
+        if key_range.history_from is None or routed.now >= key_range.history_until:
+            return None
+        return Refusal(codes.KEY_HISTORY_UNKNOWN, "an earlier holder may have run this key")
+    if made_at > routed.wall + error:
+        return Refusal(codes.KEY_FROM_FUTURE, "the key's own time is ahead of this clock")
+    if made_at < routed.wall - state.keys.retention + error:
+        return Refusal(codes.KEY_TOO_OLD, "the key is older than outcomes are remembered")
+    if key_range.history_from is not None and made_at <= key_range.history_from + error:
+        return Refusal(codes.KEY_HISTORY_UNKNOWN, "an earlier holder may have run this key")
+    return None
+
+
+def _answer_from_entry(routed: CallRouted, call_state: CallState, entry: KeyEntry) -> list[Message]:
+    call_id = routed.call.id
+    if entry.fingerprint != routed.call.fingerprint:
+        refusal = Refusal(codes.KEY_CONFLICT, "the key was used before with another request")
+        return [CallRefused(call_id=call_id, refusal=refusal)]
+    if entry.state is KeyState.RUNNING:
+        entry.joined.append(call_id)
+        call_state.joined = True
+        return [
+            Decision(
+                part="holding",
+                sentence="the key runs already; waiting for its answer",
+                call_id=call_id,
+                service=routed.service.name,
+            )
+        ]
+    if entry.state is KeyState.UNKNOWN:
+        refusal = entry.refusal or Refusal(codes.ANSWER_LOST, "the outcome is not known")
+        return [CallRefused(call_id=call_id, refusal=refusal)]
+    return [_repeat_answer(call_id, entry)]
+
+
+def _repeat_answer(call_id: int, entry: KeyEntry) -> Message:
+    if entry.kept is not None:
+        return Replay(call_id=call_id, kept=entry.kept)
+    refusal = Refusal(codes.RAN_ALREADY, "the request ran; its answer is not kept")
+    return CallRefused(call_id=call_id, refusal=refusal)
+
+
+def _settle_key(state: DaemonState, settled: Settled) -> list[Message]:
+    call_state = state.calls.states.get(settled.call_id)
+    if call_state is None or call_state.digest is None:
+        return [settled]
+    resource = find_range(call_state.digest, state.limits.key_ranges)
+    entries = state.keys.ranges[resource].entries
+    entry = entries.get(call_state.digest)
+    if entry is None or entry.call_id != settled.call_id:
+        return [settled]
+    entry.seen_at = settled.now
+    joined, entry.joined = entry.joined, []
+    _settle_entry(state, entries, call_state.digest, settled)
+    answers = [_tell_joined(call_id, entry, settled) for call_id in joined]
+    return [*answers, settled]
+
+
+def _settle_entry(
+    state: DaemonState, entries: dict[int, KeyEntry], digest: int, settled: Settled
+) -> None:
+    entry = entries[digest]
+    if settled.ran:
+        entry.state = KeyState.RAN
+        entry.kept = settled.kept
+    elif settled.ran is None:
+        entry.state = KeyState.UNKNOWN
+        entry.refusal = settled.refusal
+    else:
+        del entries[digest]
+        state.keys.size -= 1
+
+
+def _tell_joined(call_id: int, entry: KeyEntry, settled: Settled) -> Message:
+    if settled.ran or settled.refusal is None:
+        return _repeat_answer(call_id, entry)
+    return CallRefused(call_id=call_id, refusal=settled.refusal)
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/leases.py
@@ -0,0 +1,254 @@
+"""Leases granted by the log's order: who alone may act on a resource, and until when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.chain import Chain
+from dotterelgate_core.peers import rank_by_rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from dotterelgate_core.chain import Link
+
+__all__ = ["Claim", "Grant", "Lease", "LeaseTable", "Tenure"]
+
+DRIFT_SHARE = 0.01
+RENEWAL_SHARE = 1 / 3
+RANK_DELAY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """What a lease record carries.
+
+    :param resource: what is leased
+    :param holder: name of the daemon
+    :param incarnation: which run of that daemon
+    :param address: where the holder listens for peers
+    :param length: seconds
+    :param transfer: id of the state that the previous holder handed over, if it did
+    """
+
+    resource: str
+    holder: str
+    incarnation: str
+    address: str
+    length: float
+    transfer: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Claim:
+    """A grant that this daemon wants to append to the log."""
+
+    id: str
+    previous: str | None
+    grant: Grant
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tenure:
+    """How this daemon came to hold a resource.
+
+    :param id: id of the grant that began it
+    :param since: monotonic second at which its grant was read
+    :param history_known: whether nothing done by earlier holders is unknown here
+    :param transfer: id of the state that the previous holder handed over
+    """
+
+    id: str
+    since: float
+    history_known: bool
+    transfer: str | None
+
+
+@dataclass(kw_only=True, slots=True)
+class Lease:
+    """One resource as this daemon sees it.
+
+    :param chain: accepted grant by the log's order
+    :param read_at: monotonic second at which the accepted grant was read
+    :param ends_at: monotonic second at which this daemon's own lease ends
+    :param tenure: set while this daemon is the accepted holder
+    :param claimed_at: monotonic second of a claim not read back yet
+    :param closing: whether this daemon hands the resource over
+    """
+
+    chain: Chain = field(default_factory=Chain)
+    read_at: float = 0.0
+    ends_at: float = 0.0
+    tenure: Tenure | None = None
+    claimed_at: float | None = None
+    closing: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class LeaseTable:
+    """All leases, and the claims that this daemon has sent.
+
+    :param holder: name of this daemon
+    :param incarnation: unique to this run of the daemon
+    :param address: where this daemon listens for peers
+    :param length: seconds of a lease
+    :param started_at: monotonic second at which reading the log began
+    :param leases: by resource
+    :param sent: monotonic second before which each own claim was sent, by grant id
+    """
+
+    holder: str
+    incarnation: str
+    address: str
+    length: float
+    started_at: float = 0.0
+    leases: dict[str, Lease] = field(default_factory=dict)
+    sent: dict[str, float] = field(default_factory=dict)
+    next_claim: int = 0
+
+    def begin(self, *, resources: Collection[str], start: int, now: float) -> None:
+        """Begin, or begin again after a gap, to read the log at ``start``."""
+        self.started_at = now
+        for resource in resources:
+            lease = self.leases.setdefault(resource, Lease())
+            lease.chain.begin(start=start)
+            lease.tenure = None
+            lease.read_at = now
+
+    def holds(self, resource: str, now: float) -> bool:
+        """Tell whether this daemon alone may act on the resource now."""
+        lease = self.leases[resource]
+        return lease.tenure is not None and now < lease.ends_at and not lease.closing
+
+    def find_holder(self, resource: str) -> Grant | None:
+        """Find the accepted grant, lapsed or not."""
+        current = self.leases[resource].chain.current
+        return current.body if current is not None else None
+
+    def read(self, link: Link, now: float) -> bool:
+        """Take a grant in log order.
+
+        :returns: whether the accepted grant changed
+        """
+        grant: Grant = link.body
+        lease = self.leases.get(grant.resource)
+        if lease is None:
+            return False
+        before = lease.chain.current
+        lease.chain.read(link)
+        if self._is_mine(grant):
+            lease.claimed_at = None
+        if lease.chain.current is before:
+            return False
+        self._follow(lease, before, now)
+        return True
+
+    def prepare(self, resource: str, now: float, transfer_to: Grant | None = None) -> Claim:
+        """Write a claim, counting its length from now, before it is sent."""
+        lease = self.leases[resource]
+        current = lease.chain.current
+        self.next_claim += 1
+        claim_id = f"{self.incarnation}/{self.next_claim}"
+        grant = transfer_to or Grant(
+            resource=resource,
+            holder=self.holder,
+            incarnation=self.incarnation,
+            address=self.address,
+            length=self.length,
+        )
+        if transfer_to is None:
+            self.sent[claim_id] = now
+            lease.claimed_at = now
+        previous = current.id if current is not None else None
+        return Claim(id=claim_id, previous=previous, grant=grant)
+
+    def select_due(
+        self, now: float, usable: Collection[str], gone: Collection[str], oldest: int
+    ) -> list[str]:
+        """Select the resources that this daemon should claim or renew now.
+
+        :param usable: names of daemons that may take work
+        :param gone: names of daemons that cannot act any more
+        :param oldest: oldest offset that the log retains
+        """
+        due = []
+        for resource, lease in self.leases.items():
+            if lease.claimed_at is not None and now - lease.claimed_at < RANK_DELAY_SECONDS:
+                continue
+            lease.chain.expire(oldest=oldest)
+            is_renewal = self._is_renewal_due(lease, now)
+            if is_renewal or self._is_claim_due(resource, lease, now, usable, gone):
+                due.append(resource)
+        return due
+
+    def _is_renewal_due(self, lease: Lease, now: float) -> bool:
+        if lease.tenure is None or lease.closing:
+            return False
+        return lease.ends_at - now < self.length * (1 - RENEWAL_SHARE)
+
+    def _is_claim_due(
+        self,
+        resource: str,
+        lease: Lease,
+        now: float,
+        usable: Collection[str],
+        gone: Collection[str],
+    ) -> bool:
+        if lease.tenure is not None or self.holder not in usable:
+            return False
+        free_since = self._find_free_since(lease, gone)
+        if free_since is None:
+            return False
+        rank = rank_by_rendezvous(resource, usable).index(self.holder)
+        return now >= free_since + rank * RANK_DELAY_SECONDS
+
+    def _find_free_since(self, lease: Lease, gone: Collection[str]) -> float | None:
+        chain = lease.chain
+        if not chain.known:
+            # Grants that the log no longer retains may still be running.
+            return None if chain.unjudged else self.started_at + self._outlast(self.length)
+        if chain.current is None:
+            return lease.read_at
+        grant: Grant | None = chain.current.body
+        if grant is None:
+            return lease.read_at + self._outlast(self.length)
+        if grant.holder in gone or self._is_earlier_run(grant):
+            return lease.read_at
+        return lease.read_at + self._outlast(grant.length)
+
+    def _follow(self, lease: Lease, before: Link | None, now: float) -> None:
+        current = lease.chain.current
+        lease.read_at = now
+        lease.closing = False
+        if current is None or current.body is None or not self._is_mine(current.body):
+            lease.tenure = None
+            return
+        sent_at = self.sent.get(current.id)
+        if sent_at is None:
+            lease.tenure = None
+            return
+        lease.ends_at = sent_at + current.body.length * (1 - DRIFT_SHARE)
+        follows_own = before is not None and before.id == current.previous
+        if lease.tenure is not None and follows_own:
+            return
+        lease.tenure = Tenure(
+            id=current.id,
+            since=now,
+            history_known=before is None and lease.chain.start == 0,
+            transfer=current.body.transfer,
+        )
+
+    def expect_transfer(self, claim_id: str, now: float) -> None:
+        """Note that a peer will grant a resource to this daemon under this id."""
+        self.sent[claim_id] = now
+
+    def _is_mine(self, grant: Grant) -> bool:
+        return grant.holder == self.holder and grant.incarnation == self.incarnation
+
+    def _is_earlier_run(self, grant: Grant) -> bool:
+        # The peer address is bound by this run, so the earlier run has ended.
+        return grant.holder == self.holder and grant.incarnation != self.incarnation
+
+    def _outlast(self, length: float) -> float:
+        return length * (1 + DRIFT_SHARE)
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -0,0 +1,300 @@
+"""Messages that the pipelines read and write."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dotterelgate_core.codes import Refusal
+    from dotterelgate_core.configuration import BackendServer, Route, Service
+
+__all__ = [
+    "Answered",
+    "Call",
+    "CallArrived",
+    "CallEnded",
+    "CallParked",
+    "CallRefused",
+    "CallRouted",
+    "CallerLeft",
+    "Cancel",
+    "Decision",
+    "Dispatch",
+    "DispatchFailed",
+    "Forward",
+    "PeerAnswered",
+    "PeerFailed",
+    "Purpose",
+    "Relay",
+    "Replay",
+    "ServerReport",
+    "Settled",
+    "SlotFreed",
+    "Ticked",
+]
+
+
+class Purpose(str, Enum):
+    """Why a call is handed to a peer."""
+
+    HOLD = "hold"
+    OWN = "own"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """What the decisions need to know of one request.
+
+    :param id: unique in this daemon
+    :param method: HTTP method
+    :param host: value of ``Host`` without the port
+    :param path: path without the query
+    :param key: idempotency key, if the caller sent one
+    :param fingerprint: digest of method, target and body, compared under one key
+    :param timeout: seconds that the caller still waits, if it said so
+    :param streamed: whether the body is too large to be kept
+    :param retried: whether a caller further up retries already
+    :param purpose: why a peer handed it over; ``None`` when from a caller
+    :param holder: daemon that holds its key and fences it, if it was held before
+    :param fence: wall-clock second after which it must not start, if held
+    """
+
+    id: int
+    method: str
+    host: str
+    path: str
+    key: str | None = None
+    fingerprint: int = 0
+    timeout: float | None = None
+    streamed: bool = False
+    retried: bool = False
+    purpose: Purpose | None = None
+    holder: str | None = None
+    fence: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallArrived:
+    """A request is complete enough to be decided on."""
+
+    now: float
+    wall: float
+    call: Call
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallRouted:
+    """A call with the route and the time limit that apply to it."""
+
+    now: float
+    wall: float
+    call: Call
+    service: Service
+    route: Route
+    deadline: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallParked:
+    """A keyed call that waits until a holder of its range is known."""
+
+    now: float
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection or the peer cancelled."""
+
+    now: float
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerReport:
+    """What a backend server said of itself along with an answer or probe.
+
+    :param in_flight: requests it works on or queues, if it said so
+    :param draining: whether it said that it is leaving
+    """
+
+    in_flight: int | None = None
+    draining: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """A backend server's answer arrived whole.
+
+    :param ran: ``False`` when the backend server said that it did not run it
+    :param kept: the answer if small enough to be kept for a key, else ``None``
+    """
+
+    now: float
+    call_id: int
+    server: str
+    status: int
+    ran: bool
+    report: ServerReport
+    kept: object | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DispatchFailed:
+    """A dispatched request got no whole answer.
+
+    :param sent: whether the backend server may have read the whole request head
+    :param passed_on: whether part of the answer went to the caller already
+    """
+
+    now: float
+    call_id: int
+    server: str
+    sent: bool
+    passed_on: bool
+    refusal: Refusal
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerAnswered:
+    """A peer handed back a backend server's answer or its own refusal.
+
+    :param refusal: the peer's refusal, or ``None`` when the answer arrived whole
+    :param kept: the answer if small enough to be kept for a key, else ``None``
+    """
+
+    now: float
+    call_id: int
+    peer: str
+    refusal: Refusal | None = None
+    kept: object | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerFailed:
+    """A peer that a call was handed to cannot be reached.
+
+    :param sent: whether the peer may have read the call
+    :param passed_on: whether part of the answer went to the caller already
+    """
+
+    now: float
+    call_id: int
+    peer: str
+    sent: bool
+    passed_on: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+    now: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotFreed:
+    """Backend servers of a service may have room for waiting requests."""
+
+    now: float
+    service: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settled:
+    """A call reached its end; filters that kept state for it let go.
+
+    :param ran: whether it ran; ``None`` when that is not known
+    """
+
+    now: float
+    call_id: int
+    refusal: Refusal | None
+    ran: bool | None
+    kept: object | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Dispatch:
+    """Order to send a call to a backend server.
+
+    :param deadline: monotonic second at which the answer is given up
+    :param fence: wall-clock second after which the server must not start it
+    :param attempt: 1 for the first dispatch of the call
+    """
+
+    call_id: int
+    server: BackendServer
+    deadline: float
+    fence: float | None
+    attempt: int
+    idempotent: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Forward:
+    """Order to hand a call to a peer."""
+
+    call_id: int
+    peer: str
+    purpose: Purpose
+    deadline: float
+    fence: float | None
+    retried: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cancel:
+    """Order to stop waiting for an answer and tell the backend server or peer."""
+
+    call_id: int
+    server: str | None = None
+    peer: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Relay:
+    """Order to pass on the answer that was received for a call."""
+
+    call_id: int
+    source: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Replay:
+    """Order to answer a call with an answer kept for its key."""
+
+    call_id: int
+    kept: object
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallRefused:
+    """Order to answer a call with a result code.
+
+    :param runs_on: whether its backend server's answer is still awaited
+    """
+
+    call_id: int
+    refusal: Refusal
+    runs_on: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallEnded:
+    """Order to let go of a call that nobody waits for any more."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Decision:
+    """A decision for the log: a fixed prefix per part and a short sentence."""
+
+    part: str
+    sentence: str
+    call_id: int | None = None
+    service: str = ""
+    target: str = ""
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/owning.py
@@ -0,0 +1,69 @@
+"""Filter that hands a call to the daemon that owns the service's queue."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.messages import CallRouted, Decision, Forward, Purpose
+from dotterelgate_core.peers import rank_by_rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.policies import Policy
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["make_owning_filter"]
+
+
+def make_owning_filter(state: DaemonState, policies: Mapping[str, Policy]) -> Filter:
+    """Make the filter that lets calls of owned services through to their owner."""
+
+    def own(message: Message) -> Iterable[Message]:
+        if not isinstance(message, CallRouted):
+            return (message,)
+        if not policies[message.service.policy].owned or not _may_leave(state, message):
+            return (message,)
+        owner = find_owner(state, message.service.name, message.now)
+        if owner == state.name:
+            return (message,)
+        return _hand_over(state, message, owner)
+
+    return own
+
+
+def find_owner(state: DaemonState, service: str, now: float) -> str:
+    """Find the daemon that owns a service's queue, as seen from here."""
+    usable = state.peers.select_usable(now)
+    if not usable:
+        return state.name
+    return rank_by_rendezvous(service, usable)[0]
+
+
+def _may_leave(state: DaemonState, routed: CallRouted) -> bool:
+    call = routed.call
+    if call.streamed or call.purpose is Purpose.OWN:
+        return False
+    return not state.calls.states[call.id].local
+
+
+def _hand_over(state: DaemonState, routed: CallRouted, owner: str) -> list[Message]:
+    call_state = state.calls.states[routed.call.id]
+    call_state.peer = owner
+    return [
+        Forward(
+            call_id=routed.call.id,
+            peer=owner,
+            purpose=Purpose.OWN,
+            deadline=routed.deadline,
+            fence=call_state.fence,
+        ),
+        Decision(
+            part="owning",
+            sentence=f"{owner} owns the queue of {routed.service.name}; handing the call over",
+            call_id=routed.call.id,
+            service=routed.service.name,
+            target=owner,
+        ),
+    ]
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/policies.py
@@ -0,0 +1,111 @@
+"""Routing policies: functions that choose one backend server of several."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from random import Random
+
+    from dotterelgate_core.servers import ServerState
+
+    Choose = Callable[[Sequence[ServerState]], ServerState]
+
+__all__ = ["POLICY_NAMES", "Policy", "make_policies"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Policy:
+    """How requests of a service meet backend servers.
+
+    :param name: value of ``policy`` in the configuration
+    :param owned: whether one daemon takes in all requests of the service
+    :param late: whether a request waits in the daemon until a slot is free
+    :param choose: chooses among eligible backend servers, at least one
+    """
+
+    name: str
+    owned: bool
+    late: bool
+    choose: Choose
+
+
+def make_policies(random: Random) -> dict[str, Policy]:
+    """Make every selectable policy.
+
+    :param random: source of the random choices
+    """
+    policies = (
+        Policy(name="owner_queue", owned=True, late=True, choose=choose_fastest),
+        Policy(name="local_queue", owned=False, late=True, choose=choose_fastest),
+        Policy(name="least_in_flight", owned=False, late=False, choose=make_least(random)),
+        Policy(name="least_reported", owned=False, late=False, choose=make_reported(random)),
+        Policy(name="two_choices", owned=False, late=False, choose=make_two_choices(random)),
+        Policy(name="round_robin", owned=False, late=False, choose=make_round_robin()),
+        Policy(name="random", owned=False, late=False, choose=random.choice),
+    )
+    return {policy.name: policy for policy in policies}
+
+
+def choose_fastest(states: Sequence[ServerState]) -> ServerState:
+    """Choose by requests in flight weighted with the recent service time."""
+    return min(states, key=lambda state: (state.in_flight + 1) * state.service_time)
+
+
+def make_least(random: Random) -> Choose:
+    """Make the choice of the fewest own requests in flight, ties at random."""
+
+    def choose(states: Sequence[ServerState]) -> ServerState:
+        least = min(state.in_flight for state in states)
+        return random.choice([state for state in states if state.in_flight == least])
+
+    return choose
+
+
+def make_reported(random: Random) -> Choose:
+    """Make the choice of the fewest requests by the servers' own last reports."""
+
+    def count(state: ServerState) -> int:
+        return max(state.in_flight, state.reported)
+
+    def choose(states: Sequence[ServerState]) -> ServerState:
+        least = min(count(state) for state in states)
+        return random.choice([state for state in states if count(state) == least])
+
+    return choose
+
+
+def make_two_choices(random: Random) -> Choose:
+    """Make the choice of the emptier of two drawn at random."""
+
+    def choose(states: Sequence[ServerState]) -> ServerState:
+        first = random.choice(states)
+        second = random.choice(states)
+        return min(first, second, key=lambda state: state.in_flight)
+
+    return choose
+
+
+def make_round_robin() -> Choose:
+    """Make the choice of one after the other."""
+    turn = 0
+
+    def choose(states: Sequence[ServerState]) -> ServerState:
+        nonlocal turn
+        turn += 1
+        return states[turn % len(states)]
+
+    return choose
+
+
+POLICY_NAMES = (
+    "owner_queue",
+    "local_queue",
+    "least_in_flight",
+    "least_reported",
+    "two_choices",
+    "round_robin",
+    "random",
+)
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/retries.py
@@ -0,0 +1,50 @@
+"""Budgets that keep retries and hedges a small share of the requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = ["Budget", "BudgetTable"]
+
+BURST = 10.0
+
+
+@dataclass(kw_only=True, slots=True)
+class Budget:
+    """Tokens earned by first attempts and spent by further ones.
+
+    :param share: tokens earned by each request
+    :param tokens: tokens left
+    """
+
+    share: float
+    tokens: float = BURST
+
+    def earn(self) -> None:
+        """Count one request."""
+        self.tokens = min(self.tokens + self.share, BURST)
+
+    def spend(self) -> bool:
+        """Take one token.
+
+        :returns: whether there was one
+        """
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@dataclass(kw_only=True, slots=True)
+class BudgetTable:
+    """Budgets by service name."""
+
+    budgets: dict[str, Budget] = field(default_factory=dict)
+
+    def find(self, service: str, share: float) -> Budget:
+        """Find the budget of a service, making it on first use."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = Budget(share=share)
+        budget.share = share
+        return budget
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/routes.py
@@ -0,0 +1,84 @@
+"""Filter that matches a request with a route and sets its time limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Refusal, speak_for_attempt
+from dotterelgate_core.messages import CallArrived, CallRefused, CallRouted
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelgate_core.codes import ResultCode
+    from dotterelgate_core.configuration import Configuration, Route, Service
+    from dotterelgate_core.messages import Call
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["find_route", "make_route_filter"]
+
+
+def make_route_filter(state: DaemonState) -> Filter:
+    """Make the filter from arrived to routed calls."""
+
+    def route(message: Message) -> Iterable[Message]:
+        if not isinstance(message, CallArrived):
+            return (message,)
+        return (_route(state, message),)
+
+    return route
+
+
+def find_route(configuration: Configuration, call: Call) -> tuple[Service, Route] | None:
+    """Find the service and its route with the longest matching prefix."""
+    best: tuple[Service, Route] | None = None
+    for service in configuration.services:
+        if service.hosts and call.host not in service.hosts:
+            continue
+        for route in service.routes:
+            if not _matches(route, call):
+                continue
+            if best is None or len(route.prefix) > len(best[1].prefix):
+                best = (service, route)
+    return best
+
+
+def _route(state: DaemonState, message: CallArrived) -> Message:
+    call = message.call
+    configuration = state.configuration.current
+    if configuration is None:
+        return _refuse(call, codes.NO_CONFIGURATION, "no configuration is in force yet")
+    found = find_route(configuration, call)
+    if found is None:
+        return _refuse(call, codes.NO_ROUTE, f"no route for {call.method} {call.path}")
+    service, route = found
+    timeout = route.timeout if call.timeout is None else min(call.timeout, route.timeout)
+    if timeout <= 0:
+        return _refuse(call, codes.DEADLINE_PASSED, "the time limit had passed on arrival")
+    routed = CallRouted(
+        now=message.now,
+        wall=message.wall,
+        call=call,
+        service=service,
+        route=route,
+        deadline=message.now + timeout,
+    )
+    state.calls.add(routed)
+    return routed
+
+
+def _refuse(call: Call, code: ResultCode, reason: str) -> CallRefused:
+    refusal = Refusal(code, reason)
+    if call.key is not None:
+        refusal = speak_for_attempt(refusal)
+    return CallRefused(call_id=call.id, refusal=refusal)
+
+
+def _matches(route: Route, call: Call) -> bool:
+    if route.methods and call.method not in route.methods:
+        return False
+    if route.prefix == "/":
+        return True
+    return call.path == route.prefix or call.path.startswith(route.prefix.rstrip("/") + "/")
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -0,0 +1,116 @@
+"""Backend servers as this daemon sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dotterelgate_core.configuration import BackendServer, Service
+
+__all__ = ["ServerState", "ServerTable"]
+
+FAILURES_BEFORE_PAUSE = 2
+PAUSE_SECONDS = 1.0
+PAUSE_LIMIT_SECONDS = 8.0
+SMOOTHING = 0.2
+
+
+@dataclass(kw_only=True, slots=True)
+class ServerState:
+    """One backend server.
+
+    :param in_flight: requests that this daemon has at it
+    :param reported: requests that it said it has, its queue included
+    :param reported_at: monotonic second of that report
+    :param service_time: smoothed seconds per request
+    :param leaving: names of the sources that say it is leaving
+    :param paused_until: monotonic second until which it gets no work
+    :param failures: failures in a row
+    :param ramp: requests allowed at once while it warms up, ``None`` when warm
+    :param used_at: monotonic second of the last answer or dispatch
+    """
+
+    server: BackendServer
+    in_flight: int = 0
+    reported: int = 0
+    reported_at: float = 0.0
+    service_time: float = 0.0
+    leaving: set[str] = field(default_factory=set)
+    paused_until: float = 0.0
+    failures: int = 0
+    ramp: int | None = None
+    ramp_successes: int = 0
+    used_at: float = 0.0
+
+    def is_eligible(self, now: float) -> bool:
+        """Tell whether it may get new work."""
+        return not (self.leaving or self.server.draining) and self.paused_until <= now
+
+    def count_free(self) -> int:
+        """Count the requests that it can take without queueing them."""
+        limit = self.server.slots if self.ramp is None else min(self.ramp, self.server.slots)
+        return limit - self.in_flight
+
+    def note_success(self, now: float, seconds: float) -> None:
+        """Learn from a whole answer."""
+        self.failures = 0
+        self.paused_until = 0.0
+        self.used_at = now
+        weight = SMOOTHING if self.service_time else 1.0
+        self.service_time += weight * (seconds - self.service_time)
+        self._warm_up()
+
+    def note_failure(self, now: float) -> None:
+        """Learn from a failed connection or a cut answer."""
+        self.failures += 1
+        self.used_at = now
+        if self.failures < FAILURES_BEFORE_PAUSE:
+            return
+        pause = PAUSE_SECONDS * 2 ** (self.failures - FAILURES_BEFORE_PAUSE)
+        self.paused_until = now + min(pause, PAUSE_LIMIT_SECONDS)
+        self.ramp = 1
+        self.ramp_successes = 0
+
+    def _warm_up(self) -> None:
+        if self.ramp is None:
+            return
+        self.ramp_successes += 1
+        if self.ramp_successes < self.ramp:
+            return
+        self.ramp_successes = 0
+        self.ramp *= 2
+        if self.ramp >= self.server.slots:
+            self.ramp = None
+
+
+@dataclass(kw_only=True, slots=True)
+class ServerTable:
+    """All backend servers of the configuration in force, by name."""
+
+    states: dict[str, ServerState] = field(default_factory=dict)
+    by_service: dict[str, list[ServerState]] = field(default_factory=dict)
+
+    def follow_configuration(self, services: tuple[Service, ...], *, warm: bool) -> None:
+        """Add and drop backend servers so that they match the configuration.
+
+        :param warm: whether new backend servers get full load at once
+        """
+        before = self.states
+        self.states = {}
+        self.by_service = {}
+        for service in services:
+            pool = [self._carry_over(before, server, warm=warm) for server in service.servers]
+            self.by_service[service.name] = pool
+            self.states.update({state.server.name: state for state in pool})
+
+    def _carry_over(
+        self, before: dict[str, ServerState], server: BackendServer, *, warm: bool
+    ) -> ServerState:
+        state = before.get(server.name)
+        if state is None or state.server.address != server.address:
+            return ServerState(server=server, ramp=None if warm else 1)
+        if state.server.draining and not server.draining:
+            state.ramp = 1
+        state.server = server
+        return state
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -0,0 +1,323 @@
+"""Filters that learn from each outcome and decide between answer and retry."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.messages import (
+    Answered,
+    CallEnded,
+    CallerLeft,
+    CallParked,
+    CallRefused,
+    Cancel,
+    Decision,
+    DispatchFailed,
+    PeerAnswered,
+    PeerFailed,
+    Relay,
+    Replay,
+    Settled,
+    SlotFreed,
+    Ticked,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelgate_core.calls import CallState
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["make_finishing_filter", "make_observing_filter", "make_settling_filter"]
+
+
+def make_observing_filter(state: DaemonState) -> Filter:
+    """Make the filter that updates what is known of backend servers."""
+
+    def observe(message: Message) -> Iterable[Message]:
+        if isinstance(message, Answered):
+            return _observe_answer(state, message)
+        if isinstance(message, DispatchFailed):
+            return _observe_failure(state, message)
+        return (message,)
+
+    return observe
+
+
+def _observe_answer(state: DaemonState, message: Answered) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    server = state.servers.states.get(message.server)
+    if call_state is None:
+        return []
+    if server is not None:
+        if message.report.draining:
+            server.leaving.add("server")
+        if message.report.in_flight is not None:
+            server.reported = message.report.in_flight
+            server.reported_at = message.now
+        if message.ran:
+            server.note_success(message.now, message.now - call_state.sent_at)
+    _free_slot(state, call_state, message.server)
+    queue = state.waiting.find(call_state.routed.service.name)
+    if message.ran:
+        seconds = message.now - call_state.sent_at
+        queue.note_time(seconds, long=call_state.routed.route.long)
+    return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
+
+
+def _observe_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    server = state.servers.states.get(message.server)
+    if call_state is None:
+        return []
+    if server is not None:
+        server.note_failure(message.now)
+    _free_slot(state, call_state, message.server)
+    return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
+
+
+def _free_slot(state: DaemonState, call_state: CallState, server_name: str) -> None:
+    if call_state.server != server_name:
+        return
+    call_state.server = None
+    server = state.servers.states.get(server_name)
+    if server is not None and server.in_flight > 0:
+        server.in_flight -= 1
+    if call_state.routed.route.long:
+        state.waiting.find(call_state.routed.service.name).long_in_flight -= 1
+
+
+def make_settling_filter(state: DaemonState) -> Filter:
+    """Make the filter from outcomes to settled or retried calls."""
+
+    def settle(message: Message) -> Iterable[Message]:
+        if isinstance(message, Answered):
+            return _settle_answer(state, message)
+        if isinstance(message, DispatchFailed):
+            return _settle_failure(state, message)
+        if isinstance(message, PeerAnswered):
+            return _settle_peer_answer(state, message)
+        if isinstance(message, PeerFailed):
+            return _settle_peer_failure(state, message)
+        if isinstance(message, CallerLeft):
+            return _settle_caller_left(state, message)
+        if isinstance(message, Ticked):
+            return [*_settle_deadlines(state, message.now), message]
+        return (message,)
+
+    return settle
+
+
+def _settle_answer(state: DaemonState, message: Answered) -> list[Message]:
+    call_state = state.calls.states[message.call_id]
+    if message.ran:
+        return [
+            Settled(
+                now=message.now,
+                call_id=message.call_id,
+                refusal=None,
+                ran=True,
+                kept=message.kept,
+            ),
+            Relay(call_id=message.call_id, source=message.server),
+        ]
+    refusal = Refusal(codes.SHED, f"{message.server} said that it did not run the request")
+    return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
+
+
+def _settle_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
+    call_state = state.calls.states[message.call_id]
+    if message.passed_on:
+        return _end(message.now, message.call_id, message.refusal, ran=None)
+    may_have_run = message.sent and not call_state.routed.route.idempotent
+    if may_have_run:
+        return _end(message.now, message.call_id, message.refusal, ran=None)
+    refusal = message.refusal
+    if not message.sent:
+        refusal = Refusal(codes.CONNECT_FAILED, message.refusal.reason)
+    return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
+
+
+def _retry_or_refuse(
+    state: DaemonState,
+    call_state: CallState,
+    now: float,
+    refusal: Refusal,
+    server: str,
+) -> list[Message]:
+    call_state.avoided.add(server)
+    if not _may_retry(state, call_state, now):
+        ran = False if refusal.code.outcome is codes.Outcome.NOT_RUN else None
+        return _end(now, call_state.call.id, refusal, ran=ran)
+    decision = Decision(
+        part="settling",
+        sentence=f"{refusal.reason}; trying another backend server",
+        call_id=call_state.call.id,
+        service=call_state.routed.service.name,
+        target=server,
+    )
+    return [replace(call_state.routed, now=now), decision]
+
+
+def _may_retry(state: DaemonState, call_state: CallState, now: float) -> bool:
+    routed = call_state.routed
+    if call_state.attempts >= state.limits.retry_attempts or routed.call.retried:
+        return False
+    if routed.call.streamed or call_state.caller_left and call_state.digest is None:
+        return False
+    if now >= routed.deadline:
+        return False
+    return state.retries.find(routed.service.name, routed.service.retry_share).spend()
+
+
+def _settle_peer_answer(state: DaemonState, message: PeerAnswered) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    if call_state is None or call_state.peer != message.peer:
+        return []
+    call_state.peer = None
+    refusal = message.refusal
+    if refusal is None:
+        return [
+            Settled(
+                now=message.now,
+                call_id=message.call_id,
+                refusal=None,
+                ran=True,
+                kept=message.kept,
+            ),
+            Relay(call_id=message.call_id, source=message.peer),
+        ]
+    if refusal.code is codes.NO_HOLDER and call_state.call.purpose is None:
+        return [CallParked(now=message.now, call_id=message.call_id)]
+    if refusal.code is codes.STOPPING:
+        return _place_here(call_state, message.now)
+    ran = False if refusal.code.outcome is codes.Outcome.NOT_RUN else None
+    return _end(message.now, message.call_id, refusal, ran=ran)
+
+
+def _settle_peer_failure(state: DaemonState, message: PeerFailed) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    if call_state is None or call_state.peer != message.peer:
+        return []
+    call_state.peer = None
+    state.peers.suspect(message.peer, message.now)
+    held_elsewhere = call_state.call.key is not None and call_state.digest is None
+    if held_elsewhere and not call_state.routed.route.idempotent:
+        return _settle_holder_failure(message, call_state)
+    if message.passed_on or (message.sent and not call_state.routed.route.idempotent):
+        refusal = Refusal(codes.PEER_LOST, f"{message.peer} stopped answering")
+        return _end(message.now, message.call_id, refusal, ran=None)
+    return _place_here(call_state, message.now)
+
+
+def _settle_holder_failure(message: PeerFailed, call_state: CallState) -> list[Message]:
+    if not message.sent:
+        return [CallParked(now=message.now, call_id=message.call_id)]
+    refusal = Refusal(codes.HOLDER_SILENT, f"{message.peer} holds the key and is silent")
+    return _end(message.now, message.call_id, refusal, ran=None)
+
+
+def _place_here(call_state: CallState, now: float) -> list[Message]:
+    call_state.local = True
+    decision = Decision(
+        part="settling",
+        sentence="the owner cannot be used; dispatching from here",
+        call_id=call_state.call.id,
+        service=call_state.routed.service.name,
+    )
+    return [replace(call_state.routed, now=now), decision]
+
+
+def _settle_caller_left(state: DaemonState, message: CallerLeft) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    if call_state is None:
+        return []
+    call_state.caller_left = True
+    if not call_state.routed.route.idempotent and not call_state.queued:
+        return []
+    if call_state.digest is not None:
+        return []
+    refusal = Refusal(codes.CALLER_GONE, "the caller closed its connection")
+    return _give_up(state, call_state, message.now, refusal)
+
+
+def _settle_deadlines(state: DaemonState, now: float) -> list[Message]:
+    messages: list[Message] = []
+    for call_state in state.calls.pop_due(now):
+        messages.extend(_settle_deadline(state, call_state, now))
+    return messages
+
+
+def _settle_deadline(state: DaemonState, call_state: CallState, now: float) -> list[Message]:
+    dispatched = call_state.server is not None or call_state.peer is not None
+    if not dispatched and not call_state.joined:
+        refusal = Refusal(codes.DEADLINE_PASSED, "the time limit passed while waiting")
+        return _end(now, call_state.call.id, _speak_for_attempt(call_state, refusal), ran=False)
+    refusal = Refusal(codes.DEADLINE_EXCEEDED, "the time limit passed after dispatch")
+    if call_state.digest is not None:
+        # The run goes on so that a repeat of the key can be told its answer.
+        call_state.caller_left = True
+        return [CallRefused(call_id=call_state.call.id, refusal=refusal, runs_on=True)]
+    return _give_up(state, call_state, now, refusal)
+
+
+def _speak_for_attempt(call_state: CallState, refusal: Refusal) -> Refusal:
+    if call_state.call.key is None or call_state.digest is not None:
+        return refusal
+    return Refusal(codes.NO_HOLDER, refusal.reason)
+
+
+def _give_up(
+    state: DaemonState, call_state: CallState, now: float, refusal: Refusal
+) -> list[Message]:
+    call_id = call_state.call.id
+    messages: list[Message] = []
+    if call_state.server is not None or call_state.peer is not None:
+        messages.append(Cancel(call_id=call_id, server=call_state.server, peer=call_state.peer))
+    if call_state.server is not None:
+        _free_slot(state, call_state, call_state.server)
+        messages.append(SlotFreed(now=now, service=call_state.routed.service.name))
+    call_state.queued = False
+    ran = None if messages else False
+    return [*messages, Settled(now=now, call_id=call_id, refusal=refusal, ran=ran)]
+
+
+def _end(now: float, call_id: int, refusal: Refusal, *, ran: bool | None) -> list[Message]:
+    return [Settled(now=now, call_id=call_id, refusal=refusal, ran=ran)]
+
+
+def make_finishing_filter(state: DaemonState) -> Filter:
+    """Make the filter that turns settled calls into answers and lets go of them."""
+
+    def finish(message: Message) -> Iterable[Message]:
+        if isinstance(message, Settled):
+            return _finish_settled(state, message)
+        if isinstance(message, (CallRefused, Replay)):
+            return _finish_answered(state, message)
+        if isinstance(message, Relay):
+            call_state = state.calls.states.pop(message.call_id, None)
+            if call_state is None or call_state.caller_left:
+                return (CallEnded(call_id=message.call_id),)
+        return (message,)
+
+    return finish
+
+
+def _finish_settled(state: DaemonState, settled: Settled) -> list[Message]:
+    if settled.refusal is None:
+        return []
+    call_state = state.calls.states.pop(settled.call_id, None)
+    if call_state is None or call_state.caller_left:
+        return [CallEnded(call_id=settled.call_id)]
+    return [CallRefused(call_id=settled.call_id, refusal=settled.refusal)]
+
+
+def _finish_answered(state: DaemonState, message: CallRefused | Replay) -> list[Message]:
+    if isinstance(message, CallRefused) and message.runs_on:
+        return [message]
+    state.calls.states.pop(message.call_id, None)
+    return [message]
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -0,0 +1,52 @@
+"""All state that one daemon's decisions rest on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.calls import CallTable
+from dotterelgate_core.configuration import ConfigurationState
+from dotterelgate_core.queues import WaitingTable
+from dotterelgate_core.retries import BudgetTable
+from dotterelgate_core.servers import ServerTable
+
+if TYPE_CHECKING:
+    from dotterelgate_core.keys import KeyTable
+    from dotterelgate_core.leases import LeaseTable
+    from dotterelgate_core.peers import PeerTable
+
+__all__ = ["DaemonState", "Limits"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Limits:
+    """Settings that the decisions need.
+
+    :param key_ranges: leased ranges that the idempotency keys are divided into
+    :param clock_error: seconds by which wall clocks of two VMs may differ
+    :param holder_wait: seconds that a keyed request waits for a holder
+    :param retry_attempts: dispatches of one request at most
+    """
+
+    key_ranges: int = 32
+    clock_error: float = 0.25
+    holder_wait: float = 2.0
+    retry_attempts: int = 3
+
+
+@dataclass(kw_only=True, slots=True)
+class DaemonState:
+    """The state that the filters share; each part belongs to one module."""
+
+    name: str
+    limits: Limits
+    peers: PeerTable
+    leases: LeaseTable
+    keys: KeyTable
+    configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    calls: CallTable = field(default_factory=CallTable)
+    servers: ServerTable = field(default_factory=ServerTable)
+    waiting: WaitingTable = field(default_factory=WaitingTable)
+    retries: BudgetTable = field(default_factory=BudgetTable)
+    hedges: BudgetTable = field(default_factory=BudgetTable)
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: sources and sinks around the decision pipelines."""
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -0,0 +1,358 @@
+"""Connections of callers: requests in, answers out, one at a time."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+import xxhash
+
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Outcome, Refusal
+from dotterelgate_core.messages import Call
+from dotterelgate_daemon.codec import (
+    CONTINUE,
+    LAST_CHUNK,
+    RequestReader,
+    encode_answer_head,
+    encode_chunk,
+    find_header,
+)
+from dotterelgate_daemon.gateway import MILLISECONDS, PendingCall
+from dotterelgate_daemon.replies import Reply
+
+if TYPE_CHECKING:
+    import socket
+
+    from dotterelgate_core.codes import ResultCode
+    from dotterelgate_daemon.codec import HeaderList, RequestHead
+    from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.replies import AnswerStart, KeptAnswer
+    from dotterelgate_daemon.streams import StreamService
+
+__all__ = ["CallerGate"]
+
+KEY_LIMIT_BYTES = 255
+PIPELINE_LIMIT = 8
+
+
+@dataclass(kw_only=True)
+class _Incoming:
+    """A request as far as it has arrived."""
+
+    head: RequestHead
+    body: bytearray = field(default_factory=bytearray)
+    ended: bool = False
+    pending: PendingCall | None = None
+
+
+class CallerGate:
+    """Accepts callers and hands their requests to the gateway.
+
+    :param head_limit: bytes of a request head at most
+    :param body_limit: bytes of a request body that are kept, larger ones stream
+    :param connection_limit: connections at once at most
+    """
+
+    def __init__(
+        self,
+        *,
+        streams: StreamService,
+        gateway: Gateway,
+        head_limit: int,
+        body_limit: int,
+        connection_limit: int,
+    ) -> None:
+        self.streams = streams
+        self.gateway = gateway
+        self.head_limit = head_limit
+        self.body_limit = body_limit
+        self.is_stopping = False
+        self.connections: set[_Connection] = set()
+        self._connection_limit = connection_limit
+        self._listener: socket.socket | None = None
+
+    def open(self, address: str) -> None:
+        """Serve callers on ``IP:port``."""
+        self._listener = self.streams.listen(address=address, accept=self._accept)
+
+    def close(self) -> None:
+        """Accept no more connections and end those that wait for nothing."""
+        if self._listener is not None:
+            self.streams.stop_listening(self._listener)
+            self._listener = None
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self.connections) >= self._connection_limit:
+            sock.close()
+            return
+        self.connections.add(_Connection(gate=self, sock=sock))
+
+
+class _Connection:
+    """One caller's connection."""
+
+    def __init__(self, *, gate: CallerGate, sock: socket.socket) -> None:
+        self._gate = gate
+        self._stream = gate.streams.adopt(sock=sock, receive=self._receive, lost=self._lose)
+        self._stream.drained = self._resume_answer
+        self._waiting: deque[_Incoming] = deque()
+        self._arriving: _Incoming | None = None
+        self._current: _Incoming | None = None
+        self._refusal: Refusal | None = None
+        self._chunked = False
+        self._reader = RequestReader(
+            head_limit=gate.head_limit,
+            begin=self._begin,
+            body=self._take_body,
+            end=self._end_body,
+            refuse=self._refuse_bytes,
+        )
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is in progress."""
+        if self._current is None and self._arriving is None:
+            self._stream.close_when_sent()
+            self._gate.connections.discard(self)
+
+    def _receive(self, data: bytes) -> None:
+        self._reader.feed(data)
+        self._hold_back()
+
+    def _lose(self) -> None:
+        self._gate.connections.discard(self)
+        current, self._current = self._current, None
+        self._waiting.clear()
+        if current is not None and current.pending is not None:
+            self._gate.gateway.leave(current.pending.call.id)
+
+    def _begin(self, head: RequestHead) -> None:
+        self._arriving = _Incoming(head=head)
+        self._waiting.append(self._arriving)
+        if head.expects_continue and len(self._waiting) == 1 and self._current is None:
+            self._stream.write(CONTINUE)
+
+    def _take_body(self, part: bytes) -> None:
+        arriving = self._arriving
+        assert arriving is not None
+        if arriving.pending is not None:
+            self._gate.gateway.add_body(arriving.pending, part)
+            return
+        arriving.body += part
+        if len(arriving.body) > self._gate.body_limit:
+            self._start_next()
+
+    def _end_body(self) -> None:
+        arriving, self._arriving = self._arriving, None
+        assert arriving is not None
+        arriving.ended = True
+        if arriving.pending is not None:
+            self._gate.gateway.end_body(arriving.pending)
+        self._start_next()
+
+    def _refuse_bytes(self, code: ResultCode, reason: str) -> None:
+        self._refusal = Refusal(code, reason)
+        arriving = self._arriving
+        if arriving is not None and arriving.pending is not None:
+            self._gate.gateway.leave(arriving.pending.call.id)
+            self._stream.close()
+            self._gate.connections.discard(self)
+            return
+        if arriving is not None and arriving in self._waiting:
+            self._waiting.remove(arriving)
+        self._start_next()
+
+    def _start_next(self) -> None:
+        if self._current is not None:
+            return
+        if not self._waiting:
+            self._answer_refusal()
+            return
+        incoming = self._waiting[0]
+        streamed = not incoming.ended
+        if streamed and len(incoming.body) <= self._gate.body_limit:
+            return
+        self._waiting.popleft()
+        self._current = incoming
+        self._submit(incoming, streamed=streamed)
+
+    def _answer_refusal(self) -> None:
+        if self._refusal is None:
+            return
+        self._write_refusal(self._refusal, keep_alive=False, method="")
+        self._stream.close_when_sent()
+        self._gate.connections.discard(self)
+
+    def _submit(self, incoming: _Incoming, *, streamed: bool) -> None:
+        call = self._build_call(incoming, streamed=streamed)
+        if isinstance(call, Refusal):
+            self._refuse(call)
+            return
+        length = incoming.head.length
+        incoming.pending = PendingCall(
+            call=call,
+            target=incoming.head.target,
+            headers=self._list_headers(incoming.head),
+            body=incoming.body,
+            body_ended=incoming.ended,
+            length=len(incoming.body) if incoming.ended and length is None else length,
+            reply=self._make_reply(),
+            arrived=time.monotonic(),
+            resume_caller=self._stream.resume,
+        )
+        self._gate.gateway.admit(incoming.pending)
+
+    def _build_call(self, incoming: _Incoming, *, streamed: bool) -> Call | Refusal:
+        head = incoming.head
+        timeout = _read_timeout(head.headers)
+        if isinstance(timeout, Refusal):
+            return timeout
+        key = find_header(head.headers, b"idempotency-key")
+        if key is not None and not 0 < len(key) <= KEY_LIMIT_BYTES:
+            reason = f"Idempotency-Key must have 1 to {KEY_LIMIT_BYTES} bytes"
+            return Refusal(codes.INVALID_HEADER, reason)
+        host = (find_header(head.headers, b"host") or b"").decode("latin-1")
+        return Call(
+            id=self._gate.gateway.take_id(),
+            method=head.method,
+            host=host.rsplit(":", 1)[0].lower(),
+            path=unquote(head.target.partition("?")[0]),
+            key=key.decode("latin-1") if key is not None else None,
+            fingerprint=_digest(head, incoming.body) if key is not None else 0,
+            timeout=timeout,
+            streamed=streamed,
+            retried=find_header(head.headers, b"request-attempt") is not None,
+        )
+
+    def _list_headers(self, head: RequestHead) -> HeaderList:
+        try:
+            host = self._stream.sock.getpeername()[0].encode("ascii")
+        except OSError:
+            host = b"unknown"
+        return [*head.headers, (b"x-forwarded-for", host), (b"via", b"1.1 dotterelgate")]
+
+    def _make_reply(self) -> Reply:
+        return Reply(
+            send_whole=self._send_whole,
+            begin=self._begin_answer,
+            part=self._send_part,
+            end=self._end_answer,
+            cut=self._cut,
+            refuse=self._refuse,
+            is_full=lambda: self._stream.is_full,
+        )
+
+    def _keeps_alive(self) -> bool:
+        assert self._current is not None
+        if self._gate.is_stopping or not self._current.ended:
+            return False
+        return self._current.head.keep_alive
+
+    def _send_whole(self, answer: KeptAnswer) -> None:
+        length = len(answer.body) if answer.body or answer.length is None else answer.length
+        headers = self._list_answer_headers(answer.headers, answer.server)
+        if answer.status != 204:
+            headers.append((b"content-length", b"%d" % length))
+        self._stream.write(encode_answer_head(answer.status, headers) + answer.body)
+        self._finish()
+
+    def _begin_answer(self, start: AnswerStart) -> None:
+        headers = self._list_answer_headers(start.headers, start.server)
+        self._chunked = start.length is None
+        if start.length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        else:
+            headers.append((b"content-length", b"%d" % start.length))
+        self._stream.write(encode_answer_head(start.status, headers))
+
+    def _list_answer_headers(self, headers: HeaderList, server: str) -> HeaderList:
+        listed = list(headers)
+        listed.append((b"dotterelgate-outcome", Outcome.RAN.value.encode("ascii")))
+        listed.append((b"dotterelgate-code", b"0"))
+        listed.append((b"dotterelgate-server", server.encode("latin-1")))
+        listed.append((b"dotterelgate-daemon", self._gate.gateway.name.encode("latin-1")))
+        if not self._keeps_alive():
+            listed.append((b"connection", b"close"))
+        return listed
+
+    def _send_part(self, part: bytes) -> None:
+        self._stream.write(encode_chunk(part) if self._chunked else part)
+
+    def _end_answer(self) -> None:
+        if self._chunked:
+            self._stream.write(LAST_CHUNK)
+        self._finish()
+
+    def _cut(self) -> None:
+        # Closing before the stated end is how HTTP tells a cut answer.
+        self._current = None
+        self._stream.close()
+        self._gate.connections.discard(self)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        assert self._current is not None
+        keep_alive = self._keeps_alive()
+        self._write_refusal(refusal, keep_alive=keep_alive, method=self._current.head.method)
+        self._finish()
+
+    def _write_refusal(self, refusal: Refusal, *, keep_alive: bool, method: str) -> None:
+        body = f"{refusal.code.number} {refusal.code.name}: {refusal.reason}\n".encode()
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", b"%d" % len(body)),
+            (b"dotterelgate-outcome", refusal.outcome.value.encode("ascii")),
+            (b"dotterelgate-code", b"%d" % refusal.code.number),
+            (b"dotterelgate-daemon", self._gate.gateway.name.encode("latin-1")),
+        ]
+        if not keep_alive:
+            headers.append((b"connection", b"close"))
+        head = encode_answer_head(refusal.code.status, headers)
+        self._stream.write(head if method == "HEAD" else head + body)
+
+    def _finish(self) -> None:
+        keep_alive = self._keeps_alive()
+        self._current = None
+        if not keep_alive:
+            self._stream.close_when_sent()
+            self._gate.connections.discard(self)
+            return
+        self._stream.resume()
+        self._start_next()
+
+    def _hold_back(self) -> None:
+        if len(self._waiting) >= PIPELINE_LIMIT:
+            self._stream.pause()
+        arriving = self._arriving
+        if arriving is None or not self._stream.is_open:
+            return
+        if arriving.pending is None:
+            full = self._current is not None and len(arriving.body) > self._gate.body_limit
+        else:
+            full = self._gate.gateway.is_body_full(arriving.pending)
+        if full:
+            self._stream.pause()
+
+    def _resume_answer(self) -> None:
+        if self._current is not None and self._current.pending is not None:
+            self._gate.gateway.resume_answer(self._current.pending.call.id)
+
+
+def _read_timeout(headers: HeaderList) -> float | None | Refusal:
+    value = find_header(headers, b"request-timeout-ms")
+    if value is None:
+        return None
+    if not value.isdigit():
+        reason = "Request-Timeout-Ms must be a whole number of milliseconds"
+        return Refusal(codes.INVALID_HEADER, reason)
+    return int(value) / MILLISECONDS
+
+
+def _digest(head: RequestHead, body: bytearray) -> int:
+    digest = xxhash.xxh3_64(f"{head.method} {head.target}\n".encode())
+    digest.update(bytes(body))
+    return digest.intdigest()
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
@@ -0,0 +1,335 @@
+"""HTTP/1.1 heads and bodies between bytes and data classes, by library."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from wsgiref.headers import Headers
+
+import httptools
+
+from dotterelgate_core import codes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_core.codes import ResultCode
+
+__all__ = [
+    "LAST_CHUNK",
+    "AnswerHead",
+    "AnswerReader",
+    "HeaderList",
+    "RequestHead",
+    "RequestReader",
+    "encode_answer_head",
+    "encode_chunk",
+    "encode_request_head",
+    "find_header",
+    "select_end_to_end",
+]
+
+HeaderList = list[tuple[bytes, bytes]]
+
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+_FIRST_FINAL_STATUS = 200
+_BODYLESS_STATUSES = (204, 304)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestHead:
+    """Request line and headers.
+
+    :param length: bytes of the body, or ``None`` when it is chunked
+    """
+
+    method: str
+    target: str
+    headers: HeaderList
+    keep_alive: bool
+    length: int | None
+    expects_continue: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerHead:
+    """Status line and headers.
+
+    :param length: bytes of the body, or ``None`` when it is chunked
+    :param has_body: whether a body follows
+    """
+
+    status: int
+    headers: HeaderList
+    length: int | None
+    has_body: bool
+
+
+class RequestReader:
+    """Reads the requests of one connection in turn.
+
+    :param begin: called with each head
+    :param body: called with each part of a body
+    :param end: called when a request is whole
+    :param refuse: called once with a result code when the bytes are not valid
+    """
+
+    def __init__(
+        self,
+        *,
+        head_limit: int,
+        begin: Callable[[RequestHead], None],
+        body: Callable[[bytes], None],
+        end: Callable[[], None],
+        refuse: Callable[[ResultCode, str], None],
+    ) -> None:
+        self._head_limit = head_limit
+        self._begin = begin
+        self._body = body
+        self._end = end
+        self._refuse = refuse
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._headers: HeaderList = []
+        self._head_bytes = 0
+        self._in_head = True
+        self._failed = False
+
+    def feed(self, data: bytes) -> None:
+        """Read bytes as they arrive."""
+        if self._failed:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(codes.UNSUPPORTED, "protocol upgrades are not offered")
+        except httptools.HttpParserError as error:
+            self._fail(codes.MALFORMED_REQUEST, str(error))
+        if self._in_head and self._head_bytes > self._head_limit:
+            self._fail(codes.HEAD_TOO_LARGE, f"the head exceeds {self._head_limit} bytes")
+
+    def on_message_begin(self) -> None:
+        """Library callback."""
+        self._target = b""
+        self._headers = []
+        self._in_head = True
+
+    def on_url(self, part: bytes) -> None:
+        """Library callback."""
+        self._target += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Library callback."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Library callback."""
+        self._in_head = False
+        self._head_bytes = 0
+        if self._failed:
+            return
+        problem = self._find_problem()
+        if problem is not None:
+            self._fail(*problem)
+            return
+        self._begin(self._build_head())
+
+    def on_body(self, part: bytes) -> None:
+        """Library callback."""
+        if not self._failed:
+            self._body(part)
+
+    def on_message_complete(self) -> None:
+        """Library callback."""
+        self._in_head = True
+        if not self._failed:
+            self._end()
+
+    def _find_problem(self) -> tuple[ResultCode, str] | None:
+        if self._parser.should_upgrade():
+            return codes.UNSUPPORTED, "protocol upgrades are not offered"
+        names = [name for name, _ in self._headers]
+        if names.count(b"host") > 1:
+            return codes.MALFORMED_REQUEST, "Host stands twice"
+        if b"host" not in names and self._parser.get_http_version() == "1.1":
+            return codes.MALFORMED_REQUEST, "Host is missing"
+        if names.count(b"idempotency-key") > 1:
+            return codes.MALFORMED_REQUEST, "Idempotency-Key stands twice"
+        encoding = find_header(self._headers, b"transfer-encoding")
+        if encoding is not None and encoding.lower() != b"chunked":
+            return codes.UNSUPPORTED, "the only transfer coding taken is chunked"
+        if len(self._target) > 0 and not self._target.startswith(b"/"):
+            return codes.MALFORMED_REQUEST, "the target must be a path"
+        return None
+
+    def _build_head(self) -> RequestHead:
+        chunked = find_header(self._headers, b"transfer-encoding") is not None
+        expectation = find_header(self._headers, b"expect")
+        return RequestHead(
+            method=self._parser.get_method().decode("ascii"),
+            target=self._target.decode("latin-1"),
+            headers=self._headers,
+            keep_alive=self._parser.should_keep_alive(),
+            length=None if chunked else int(find_header(self._headers, b"content-length") or 0),
+            expects_continue=expectation is not None and expectation.lower() == b"100-continue",
+        )
+
+    def _fail(self, code: ResultCode, reason: str) -> None:
+        if not self._failed:
+            self._failed = True
+            self._refuse(code, reason)
+
+
+class AnswerReader:
+    """Reads one answer; a connection gets a new reader for each.
+
+    :param method: method of the request, since HEAD has no body
+    :param begin: called with the head
+    :param body: called with each part of the body
+    :param end: called when the answer is whole
+    """
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        begin: Callable[[AnswerHead], None],
+        body: Callable[[bytes], None],
+        end: Callable[[], None],
+    ) -> None:
+        self._method = method
+        self._begin = begin
+        self._body = body
+        self._end = end
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: HeaderList = []
+        self._is_whole = False
+        self.problem: str | None = None
+        self.may_reuse = True
+
+    def feed(self, data: bytes) -> None:
+        """Read bytes; ``problem`` says so when they are not a valid answer."""
+        if self._is_whole:
+            self.may_reuse = False
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.may_reuse = False
+            if not self._is_whole:
+                self.problem = str(error) or "not a valid answer"
+
+    def on_message_begin(self) -> None:
+        """Library callback."""
+        self._headers = []
+        if self._is_whole:
+            self.may_reuse = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Library callback."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Library callback."""
+        status = self._parser.get_status_code()
+        if self._is_whole or self.problem or status < _FIRST_FINAL_STATUS:
+            return
+        chunked = find_header(self._headers, b"transfer-encoding") is not None
+        length = find_header(self._headers, b"content-length")
+        has_body = self._method != "HEAD" and status not in _BODYLESS_STATUSES
+        if has_body and not chunked and length is None:
+            self.problem = "neither Content-Length nor chunked, so a cut could not be told"
+            return
+        self.may_reuse = self._parser.should_keep_alive()
+        head = AnswerHead(
+            status=status,
+            headers=self._headers,
+            length=None if chunked or length is None else int(length),
+            has_body=has_body,
+        )
+        self._begin(head)
+        if self._method == "HEAD":
+            # The library cannot be told that no body follows.
+            self.may_reuse = False
+            self._finish()
+
+    def on_body(self, part: bytes) -> None:
+        """Library callback."""
+        if not self._is_whole and not self.problem:
+            self._body(part)
+
+    def on_message_complete(self) -> None:
+        """Library callback."""
+        if self.problem or self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            return
+        if not self._is_whole:
+            self._finish()
+
+    def _finish(self) -> None:
+        self._is_whole = True
+        self._end()
+
+
+def find_header(headers: HeaderList, name: bytes) -> bytes | None:
+    """Find the first value of a header by its lower-case name."""
+    for each, value in headers:
+        if each == name:
+            return value
+    return None
+
+
+def select_end_to_end(headers: HeaderList, dropped: frozenset[bytes]) -> HeaderList:
+    """Select the headers that are meant for the other end (RFC 9110, 7.6.1).
+
+    :param dropped: further lower-case names to leave out
+    """
+    named = find_header(headers, b"connection") or b""
+    listed = {part.strip().lower() for part in named.split(b",")}
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in _HOP_BY_HOP and name not in dropped and name not in listed
+    ]
+
+
+def encode_request_head(method: str, target: str, headers: HeaderList) -> bytes:
+    """Encode the request line and headers."""
+    return f"{method} {target} HTTP/1.1\r\n".encode("latin-1") + _encode_headers(headers)
+
+
+def encode_answer_head(status: int, headers: HeaderList) -> bytes:
+    """Encode the status line and headers."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = ""
+    return f"HTTP/1.1 {status} {phrase}\r\n".encode("latin-1") + _encode_headers(headers)
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Encode one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _encode_headers(headers: HeaderList) -> bytes:
+    decoded = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers]
+    return bytes(Headers(decoded))
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/command.py
@@ -0,0 +1,57 @@
+"""Command line of the daemon."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from dotterelgate_border.checking import InvalidDocumentError, read_document
+from dotterelgate_border.settings import DaemonSettings
+from dotterelgate_daemon.assembly import build_daemon
+from dotterelgate_daemon.journal import set_up_logging
+
+__all__ = ["main"]
+
+EXIT_USAGE = 2
+
+_command = typer.Typer(add_completion=False)
+
+
+@_command.command()
+def run(
+    settings: Annotated[Path, typer.Option(help="JSON file with the settings.")],
+    check_settings: Annotated[
+        bool, typer.Option("--check-settings", help="Check the settings and exit.")
+    ] = False,
+    log_level: Annotated[str, typer.Option(help="debug, info, warning or error.")] = "info",
+) -> None:
+    """Run one entry daemon of the load balancer until SIGTERM."""
+    if log_level not in ("debug", "info", "warning", "error"):
+        _fail([f"--log-level: {log_level!r} is not known; use debug, info, warning or error"])
+    try:
+        checked = read_document(settings, DaemonSettings)
+    except InvalidDocumentError as error:
+        _fail(error.problems)
+    if check_settings:
+        typer.echo(f"{settings}: the settings are valid")
+        return
+    set_up_logging(log_level)
+    try:
+        daemon = build_daemon(checked)
+    except Exception as error:
+        _fail([f"{settings}: an address cannot be used: {error}; change it or free it"])
+    daemon.run()
+
+
+def _fail(problems: list[str]) -> None:
+    for problem in problems:
+        typer.echo(problem, err=True)
+    sys.exit(EXIT_USAGE)
+
+
+def main() -> None:
+    """Entry point of ``dotterelgated``."""
+    _command()
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -0,0 +1,269 @@
+"""Exchanges with one HTTP server each over reusable connections."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Refusal
+from dotterelgate_daemon.codec import LAST_CHUNK, AnswerReader, encode_chunk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_daemon.codec import AnswerHead
+    from dotterelgate_daemon.streams import Stream, StreamService
+
+__all__ = ["Exchange", "ExchangeEnd", "Pool", "PoolTable"]
+
+REUSE_FOR_WRITES_SECONDS = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExchangeEnd:
+    """How an exchange ended without a whole answer.
+
+    :param sent: whether the server may have read the whole head
+    """
+
+    sent: bool
+    refusal: Refusal
+
+
+class Exchange:
+    """One request and its answer on one connection.
+
+    A connection whose answer did not arrive whole and in turn is closed.
+
+    :param head: encoded request head
+    :param chunked: whether the body is sent in chunks
+    :param begin: called with the head of the answer
+    :param part: called with each part of its body
+    :param whole: called once when the answer is whole
+    :param failed: called once when it will not be
+    """
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        head: bytes,
+        body: bytes,
+        body_ended: bool,
+        chunked: bool,
+        begin: Callable[[AnswerHead], None],
+        part: Callable[[bytes], None],
+        whole: Callable[[], None],
+        failed: Callable[[ExchangeEnd], None],
+    ) -> None:
+        self._head = head
+        self._first = body
+        self._body_ended = body_ended
+        self._chunked = chunked
+        self._whole = whole
+        self._failed = failed
+        self._reader = AnswerReader(method=method, begin=begin, body=part, end=self._finish)
+        self._is_over = False
+        self._is_whole = False
+        self._base = 0
+        self.stream: Stream | None = None
+        self.release: Callable[[bool], None] = lambda reuse: None
+
+    def start(self, stream: Stream) -> None:
+        """Send the request on an established stream."""
+        self.stream = stream
+        self._base = stream.sent_bytes
+        data = self._head
+        if self._first:
+            data += encode_chunk(self._first) if self._chunked else self._first
+        if self._body_ended and self._chunked:
+            data += LAST_CHUNK
+        stream.write(data)
+
+    def send_part(self, part: bytes) -> None:
+        """Send a further part of the request's body."""
+        if self.stream is not None and not self._is_over:
+            self.stream.write(encode_chunk(part) if self._chunked else part)
+
+    def end_body(self) -> None:
+        """Say that the request's body is whole."""
+        self._body_ended = True
+        if self.stream is not None and self._chunked and not self._is_over:
+            self.stream.write(LAST_CHUNK)
+
+    def receive(self, data: bytes) -> None:
+        """Read bytes of the answer."""
+        if self._is_over:
+            return
+        self._reader.feed(data)
+        if self._is_whole:
+            self._complete()
+        elif self._reader.problem is not None:
+            refusal = Refusal(codes.ANSWER_INVALID, f"invalid answer: {self._reader.problem}")
+            self.fail(refusal)
+
+    def fail(self, refusal: Refusal) -> None:
+        """End the exchange without a whole answer and close its connection."""
+        if self._is_over:
+            return
+        sent = self._may_have_been_read()
+        self._is_over = True
+        self.release(False)
+        self._failed(ExchangeEnd(sent=sent, refusal=refusal))
+
+    def abandon(self) -> None:
+        """Close the connection without telling anybody; it cancels the request."""
+        if not self._is_over:
+            self._is_over = True
+            self.release(False)
+
+    def _may_have_been_read(self) -> bool:
+        if self.stream is None:
+            return False
+        return self.stream.sent_bytes - self._base >= len(self._head)
+
+    def _finish(self) -> None:
+        self._is_whole = True
+
+    def _complete(self) -> None:
+        self._is_over = True
+        self.release(self._reader.may_reuse and self._body_ended)
+        self._whole()
+
+
+@dataclass(kw_only=True, slots=True)
+class _Connection:
+    stream: Stream | None = None
+    exchange: Exchange | None = None
+    idle_since: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Pool:
+    """Connections to one address.
+
+    :param limit: connections open at once at most
+    """
+
+    address: str
+    streams: StreamService
+    limit: int
+    idle: list[_Connection] = field(default_factory=list)
+    open_count: int = 0
+
+    def run(self, exchange: Exchange, *, fresh: bool) -> None:
+        """Run an exchange on an idle connection or a new one.
+
+        :param fresh: whether a long idle connection must not be used, because
+            the server may close it at the moment of sending
+        """
+        connection = self._take_idle(fresh=fresh)
+        if connection is not None:
+            self._attach(connection, exchange)
+            assert connection.stream is not None
+            exchange.start(connection.stream)
+            return
+        self._open(exchange)
+
+    def close_idle(self, *, older_than: float) -> None:
+        """Close connections idle since before a monotonic second."""
+        keep = []
+        for connection in self.idle:
+            if connection.idle_since >= older_than:
+                keep.append(connection)
+            else:
+                self._discard(connection)
+        self.idle = keep
+
+    def _take_idle(self, *, fresh: bool) -> _Connection | None:
+        while self.idle:
+            connection = self.idle.pop()
+            stale = time.monotonic() - connection.idle_since > REUSE_FOR_WRITES_SECONDS
+            if not (fresh and stale):
+                return connection
+            self._discard(connection)
+        return None
+
+    def _open(self, exchange: Exchange) -> None:
+        if self.open_count >= self.limit:
+            reason = f"all {self.limit} connections allowed to {self.address} are in use"
+            exchange.fail(Refusal(codes.CONNECT_FAILED, reason))
+            return
+        connection = _Connection()
+        self._attach(connection, exchange)
+
+        def ready() -> None:
+            if connection.exchange is not None and connection.stream is not None:
+                connection.exchange.start(connection.stream)
+
+        self.open_count += 1
+        connection.stream = self.streams.open(
+            address=self.address,
+            ready=ready,
+            receive=lambda data: self._receive(connection, data),
+            lost=lambda: self._lose(connection),
+        )
+        if connection.stream is None:
+            self.open_count -= 1
+            exchange.fail(Refusal(codes.CONNECT_FAILED, f"{self.address} refused"))
+
+    def _attach(self, connection: _Connection, exchange: Exchange) -> None:
+        connection.exchange = exchange
+
+        def release(reuse: bool) -> None:
+            connection.exchange = None
+            if reuse and connection.stream is not None and connection.stream.is_open:
+                connection.stream.drained = None
+                connection.idle_since = time.monotonic()
+                self.idle.append(connection)
+            else:
+                self._discard(connection)
+
+        exchange.release = release
+
+    def _discard(self, connection: _Connection) -> None:
+        if connection.stream is not None and connection.stream.is_open:
+            connection.stream.close()
+            self.open_count -= 1
+
+    def _receive(self, connection: _Connection, data: bytes) -> None:
+        if connection.exchange is not None:
+            connection.exchange.receive(data)
+            return
+        # Nothing was asked, so these bytes cannot belong to any caller.
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self._discard(connection)
+
+    def _lose(self, connection: _Connection) -> None:
+        self.open_count -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if connection.exchange is None:
+            return
+        exchange, connection.exchange = connection.exchange, None
+        exchange.fail(Refusal(codes.ANSWER_LOST, f"{self.address} closed the connection"))
+
+
+class PoolTable:
+    """Pools by address."""
+
+    def __init__(self, *, streams: StreamService) -> None:
+        self._streams = streams
+        self._pools: dict[str, Pool] = {}
+
+    def find(self, address: str, *, limit: int) -> Pool:
+        """Find the pool of an address, making it on first use."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = Pool(address=address, streams=self._streams, limit=limit)
+            self._pools[address] = pool
+        pool.limit = limit
+        return pool
+
+    def close_idle(self, *, older_than: float) -> None:
+        """Close connections idle since before a monotonic second."""
+        for pool in self._pools.values():
+            pool.close_idle(older_than=older_than)
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -0,0 +1,70 @@
+"""What a daemon says of itself and of where requests go."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.messages import Call
+from dotterelgate_core.owning import find_owner
+from dotterelgate_core.routes import find_route
+
+if TYPE_CHECKING:
+    from dotterelgate_core.control import LogPosition
+    from dotterelgate_core.servers import ServerState
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["describe_daemon", "explain_route"]
+
+
+def describe_daemon(state: DaemonState, position: LogPosition, incarnation: str) -> dict:
+    """Describe a daemon as a JSON document for ``dotterelgate status``."""
+    now = time.monotonic()
+    current = state.configuration.current
+    return {
+        "daemon": state.name,
+        "incarnation": incarnation,
+        "revision": current.revision if current is not None else 0,
+        "configuration": current.id if current is not None else None,
+        "log_read_to": position.read_to,
+        "stopping": state.peers.leaving,
+        "in_flight": len(state.calls.states),
+        "held": [each for each in state.leases.leases if state.leases.holds(each, now)],
+        "keys": state.keys.size,
+        "peers": sorted(state.peers.listed),
+        "servers": [_describe_server(each, now) for each in state.servers.states.values()],
+    }
+
+
+def _describe_server(server: ServerState, now: float) -> dict:
+    return {
+        "name": server.server.name,
+        "in_flight": server.in_flight,
+        "slots": server.server.slots,
+        "leaving": sorted(server.leaving) + (["operator"] if server.server.draining else []),
+        "eligible": server.is_eligible(now),
+        "failures": server.failures,
+    }
+
+
+def explain_route(state: DaemonState, method: str, host: str, path: str) -> dict:
+    """Explain where a request would go from this daemon and why."""
+    current = state.configuration.current
+    if current is None:
+        return {"result": "no configuration is in force"}
+    found = find_route(current, Call(id=0, method=method, host=host, path=path))
+    if found is None:
+        return {"result": "no route matches"}
+    service, route = found
+    now = time.monotonic()
+    pool = state.servers.by_service.get(service.name, [])
+    return {
+        "result": "routed",
+        "service": service.name,
+        "prefix": route.prefix,
+        "idempotent": route.idempotent,
+        "priority": route.priority.name.lower(),
+        "policy": service.policy,
+        "owner": find_owner(state, service.name, now),
+        "servers": [_describe_server(each, now) for each in pool],
+    }
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
@@ -0,0 +1,301 @@
+"""Between the control pipeline and the log, the VM list and the peers."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+from pydantic import ValidationError
+
+from dotterelgate_border.declarations import ConfigurationModel, build_configuration
+from dotterelgate_border.handover import ConfigurationOffer, LeavingNotice
+from dotterelgate_border.records import (
+    Confirmation,
+    GrantModel,
+    Grants,
+    LeavingSign,
+    Publication,
+    record_adapter,
+)
+from dotterelgate_core import control
+from dotterelgate_core.chain import Link
+from dotterelgate_core.leases import Grant
+from dotterelgate_core.messages import Decision, SlotFreed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_border.handover import PeerMessage
+    from dotterelgate_border.records import Record, VmList
+    from dotterelgate_core.control import LogPosition
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.state import DaemonState
+    from dotterelgate_daemon.links import LinkService
+    from dotterelgate_daemon.metrics import Metrics
+    from dotterelgate_daemon.platform import LogClient
+
+__all__ = ["Follower", "build_grant_model"]
+
+logger = structlog.get_logger("following")
+
+
+class Follower:
+    """Feeds the control pipeline and carries out its orders.
+
+    :param decide: the control pipeline
+    :param free: called when a service may have room for waiting requests
+    """
+
+    def __init__(
+        self,
+        *,
+        state: DaemonState,
+        position: LogPosition,
+        incarnation: str,
+        decide: Filter,
+        links: LinkService,
+        metrics: Metrics,
+        free: Callable[[SlotFreed], None],
+        on_decision: Callable[[Decision], None],
+    ) -> None:
+        self.log: LogClient | None = None
+        self.documents: dict[str, ConfigurationModel] = {}
+        self.on_grant: Callable[[], None] = lambda: None
+        self._state = state
+        self._position = position
+        self._incarnation = incarnation
+        self._decide = decide
+        self._links = links
+        self._metrics = metrics
+        self._sinks: dict[type, Callable[[Message], None]] = {
+            control.AppendClaims: self._append_claims,
+            control.AppendConfirmation: self._append_confirmation,
+            control.ConfigurationChanged: self._change_configuration,
+            SlotFreed: free,
+            Decision: on_decision,
+        }
+
+    def run(self, message: Message) -> None:
+        """Run a message through the pipeline and carry out the orders."""
+        for order in self._decide(message):
+            sink = self._sinks.get(type(order))
+            if sink is not None:
+                sink(order)
+
+    def begin(self, start: int) -> None:
+        """Note that reading the log begins at an offset."""
+        self.run(control.ReadingBegan(now=time.monotonic(), start=start))
+
+    def take_record(self, offset: int, document: dict) -> None:
+        """Take one record of the log; others than the project's are passed over."""
+        try:
+            record = record_adapter.validate_python(document)
+        except ValidationError:
+            logger.debug("following: a record is not the project's", offset=offset)
+            return
+        for message in self._read_record(offset, record):
+            self.run(message)
+
+    def take_position(self, read_to: int, oldest: int) -> None:
+        """Note that every retained record below an offset is read."""
+        self.run(control.LogRead(now=time.monotonic(), read_to=read_to, oldest=oldest))
+        self.on_grant()
+
+    def take_vms(self, listed: VmList) -> None:
+        """Take the platform's list of VMs."""
+        vms = tuple(
+            control.Vm(
+                name=vm.name,
+                is_entry=vm.role == "entry",
+                zone=vm.zone,
+                address=vm.address,
+                state=vm.state,
+            )
+            for vm in listed.vms
+        )
+        self.run(control.VmsRead(now=time.monotonic(), vms=vms))
+        for peer in self._state.peers.listed.values():
+            self._links.connect_peer(peer.name, peer.address)
+        for name in self._state.peers.gone:
+            self._links.disconnect_peer(name)
+        self.ask_peers()
+
+    def ask_peers(self) -> None:
+        """Ask peers for the configuration while this daemon has none."""
+        if self._state.configuration.current is not None:
+            return
+        question = ConfigurationOffer(sender=self._state.name, incarnation=self._incarnation)
+        for name in self._state.peers.listed:
+            self._links.send(name, question)
+
+    def hear(self, message: PeerMessage) -> bool:
+        """Take a peer's message that is about control.
+
+        :returns: whether it was one
+        """
+        if isinstance(message, ConfigurationOffer):
+            self._hear_offer(message)
+        elif isinstance(message, LeavingNotice):
+            self._hear_leaving(message)
+        else:
+            return False
+        return True
+
+    def tick(self) -> None:
+        """Let leases and confirmations become due."""
+        self.run(control.ControlTicked(now=time.monotonic()))
+
+    def tell_leaving(self, server: str) -> None:
+        """Share a sign that a backend server is leaving, by peers and by the log."""
+        notice = LeavingNotice(
+            sender=self._state.name, incarnation=self._incarnation, server=server
+        )
+        for name in self._state.peers.listed:
+            self._links.send(name, notice)
+        sign = LeavingSign(server=server, writer=self._state.name)
+        self._append(sign.model_dump())
+
+    def tell_stopping(self) -> None:
+        """Tell the peers that this daemon takes no new work."""
+        notice = LeavingNotice(sender=self._state.name, incarnation=self._incarnation)
+        for name in self._state.peers.listed:
+            self._links.send(name, notice)
+
+    def append_grants(self, grants: list[GrantModel]) -> None:
+        """Append grants in one record."""
+        assert self._position.read_to is not None
+        record = Grants(read_to=self._position.read_to, oldest=self._position.oldest, grants=grants)
+        self._append(record.model_dump())
+
+    def _read_record(self, offset: int, record: Record) -> list[Message]:
+        now = time.monotonic()
+        if isinstance(record, Publication):
+            self.documents[record.id] = record.configuration
+            return [control.PublicationRead(now=now, link=_link_publication(offset, record))]
+        if isinstance(record, Confirmation):
+            self.documents[record.id] = record.configuration
+            return [control.ConfirmationRead(now=now, link=_link_confirmation(offset, record))]
+        if isinstance(record, Grants):
+            return [
+                control.GrantRead(now=now, link=_link_grant(offset, record, grant))
+                for grant in record.grants
+            ]
+        return [control.LeavingHeard(now=now, server=record.server, source=record.writer)]
+
+    def _hear_offer(self, message: ConfigurationOffer) -> None:
+        if message.id:
+            model = ConfigurationModel.model_validate_json(message.document)
+            self.documents[message.id] = model
+            configuration = build_configuration(model, id=message.id, revision=message.revision)
+            heard = control.ConfigurationHeard(
+                now=time.monotonic(), peer=message.sender, configuration=configuration
+            )
+            self.run(heard)
+            return
+        current = self._state.configuration.current
+        if current is None:
+            return
+        offer = ConfigurationOffer(
+            sender=self._state.name,
+            incarnation=self._incarnation,
+            id=current.id,
+            revision=current.revision,
+            document=self.documents[current.id].model_dump_json().encode("utf-8"),
+        )
+        self._links.send(message.sender, offer)
+
+    def _hear_leaving(self, message: LeavingNotice) -> None:
+        if message.server:
+            heard = control.LeavingHeard(
+                now=time.monotonic(), server=message.server, source=message.sender
+            )
+            self.run(heard)
+            return
+        peer = self._state.peers.listed.get(message.sender)
+        if peer is not None:
+            peer.leaving = True
+
+    def _append_claims(self, order: control.AppendClaims) -> None:
+        grants = [
+            build_grant_model(claim.id, claim.previous, claim.grant) for claim in order.claims
+        ]
+        record = Grants(read_to=order.read_to, oldest=order.oldest, grants=grants)
+        self._append(record.model_dump())
+
+    def _append_confirmation(self, order: control.AppendConfirmation) -> None:
+        configuration = order.configuration
+        record = Confirmation(
+            id=configuration.id,
+            revision=configuration.revision,
+            read_to=order.read_to,
+            writer=self._state.name,
+            configuration=self.documents[configuration.id],
+        )
+        self._append(record.model_dump())
+
+    def _append(self, record: dict) -> None:
+        assert self.log is not None
+        self.log.append(record, lambda _done: None)
+
+    def _change_configuration(self, change: control.ConfigurationChanged) -> None:
+        self._metrics.revision.set(change.configuration.revision)
+        kept = change.configuration.id
+        self.documents = {kept: self.documents[kept]}
+
+
+def build_grant_model(claim_id: str, previous: str | None, grant: Grant) -> GrantModel:
+    """Build the record form of a grant."""
+    return GrantModel(
+        id=claim_id,
+        previous=previous,
+        resource=grant.resource,
+        holder=grant.holder,
+        incarnation=grant.incarnation,
+        address=grant.address,
+        length=grant.length,
+        transfer=grant.transfer,
+    )
+
+
+def _link_publication(offset: int, record: Publication) -> Link:
+    body = build_configuration(record.configuration, id=record.id, revision=record.revision)
+    return Link(
+        id=record.id,
+        previous=record.previous,
+        offset=offset,
+        read_to=record.read_to,
+        oldest=record.oldest,
+        body=body,
+    )
+
+
+def _link_confirmation(offset: int, record: Confirmation) -> Link:
+    body = build_configuration(record.configuration, id=record.id, revision=record.revision)
+    return Link(
+        id=record.id,
+        previous=None,
+        offset=offset,
+        read_to=record.read_to,
+        oldest=0,
+        body=body,
+    )
+
+
+def _link_grant(offset: int, record: Grants, grant: GrantModel) -> Link:
+    body = Grant(
+        resource=grant.resource,
+        holder=grant.holder,
+        incarnation=grant.incarnation,
+        address=grant.address,
+        length=grant.length,
+        transfer=grant.transfer,
+    )
+    return Link(
+        id=grant.id,
+        previous=grant.previous,
+        offset=offset,
+        read_to=record.read_to,
+        oldest=record.oldest,
+        body=body,
+    )
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -0,0 +1,412 @@
+"""Between the request pipeline's orders and the connections that carry them out."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dotterelgate_core import codes, messages
+from dotterelgate_core.codes import Refusal
+from dotterelgate_daemon.codec import (
+    encode_request_head,
+    find_header,
+    select_end_to_end,
+)
+from dotterelgate_daemon.exchanges import Exchange
+from dotterelgate_daemon.replies import SILENT_REPLY, AnswerStart, KeptAnswer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_core.messages import Call, Dispatch
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_daemon.codec import AnswerHead, HeaderList
+    from dotterelgate_daemon.exchanges import ExchangeEnd, PoolTable
+    from dotterelgate_daemon.metrics import Metrics
+    from dotterelgate_daemon.replies import Reply
+
+__all__ = ["Gateway", "PendingCall"]
+
+logger = structlog.get_logger("gateway")
+
+MILLISECONDS = 1000
+CONTROL_HEADERS = frozenset(
+    (
+        b"request-timeout-ms",
+        b"request-not-after",
+        b"request-attempt",
+        b"request-outcome",
+        b"server-in-flight",
+        b"server-state",
+        b"dotterelgate-outcome",
+        b"dotterelgate-code",
+        b"dotterelgate-server",
+        b"dotterelgate-daemon",
+    )
+)
+
+
+@dataclass(kw_only=True)
+class PendingCall:
+    """The bytes that belong to a call in progress.
+
+    :param target: path and query
+    :param body_ended: whether ``body`` is all of it
+    :param passed_on: whether part of an answer went out already
+    :param peer: peer that it was handed to
+    :param next_part: number of the next part expected from that peer
+    """
+
+    call: Call
+    target: str
+    headers: HeaderList
+    body: bytearray
+    body_ended: bool
+    length: int | None
+    reply: Reply
+    arrived: float
+    exchange: Exchange | None = None
+    start: AnswerStart | None = None
+    answer: bytearray = field(default_factory=bytearray)
+    status: int = 0
+    report: messages.ServerReport = field(default_factory=messages.ServerReport)
+    not_run: bool = False
+    passed_on: bool = False
+    peer: str | None = None
+    next_part: int = 0
+    whole: KeptAnswer | None = None
+    service: str = ""
+    resume_caller: Callable[[], None] | None = None
+
+
+class Gateway:
+    """Carries out the orders of the request pipeline.
+
+    :param decide: the request pipeline
+    :param keep_limit: bytes of an answer body that are held back until it is whole
+    :param remember_limit: bytes of an answer body that are kept for a key
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        decide: Filter,
+        pools: PoolTable,
+        metrics: Metrics,
+        keep_limit: int,
+        remember_limit: int,
+        first_call_id: int,
+        count_daemons: Callable[[], int],
+        on_decision: Callable[[messages.Decision], None],
+    ) -> None:
+        self.name = name
+        self.pending: dict[int, PendingCall] = {}
+        self.hand_over: Callable[[messages.Forward, PendingCall], None] = lambda order, pending: (
+            None
+        )
+        self.withdraw: Callable[[int, str], None] = lambda call_id, peer: None
+        self._decide = decide
+        self._pools = pools
+        self._metrics = metrics
+        self._keep_limit = keep_limit
+        self._remember_limit = remember_limit
+        self._next_id = first_call_id
+        self._count_daemons = count_daemons
+        self._on_decision = on_decision
+        self._sinks: dict[type, Callable[[Message], None]] = {
+            messages.Dispatch: self._dispatch,
+            messages.Forward: self._forward,
+            messages.Cancel: self._cancel,
+            messages.Relay: self._relay,
+            messages.Replay: self._replay,
+            messages.CallRefused: self._refuse,
+            messages.CallEnded: self._forget,
+            messages.Decision: on_decision,
+        }
+
+    def take_id(self) -> int:
+        """Take the next call id; ids of earlier runs never come again."""
+        self._next_id += 1
+        return self._next_id
+
+    def admit(self, pending: PendingCall) -> None:
+        """Let the pipeline decide on a request."""
+        self.pending[pending.call.id] = pending
+        wall = time.time()
+        self.run(messages.CallArrived(now=time.monotonic(), wall=wall, call=pending.call))
+
+    def leave(self, call_id: int) -> None:
+        """Note that nobody waits for the answer any more."""
+        pending = self.pending.get(call_id)
+        if pending is None:
+            return
+        if not pending.body_ended and pending.exchange is not None:
+            # The rest of the body will never come.
+            refusal = Refusal(codes.CALLER_GONE, "the caller left before its body was whole")
+            pending.exchange.fail(refusal)
+        pending.reply = SILENT_REPLY
+        self.run(messages.CallerLeft(now=time.monotonic(), call_id=call_id))
+
+    def run(self, message: Message) -> None:
+        """Run a message through the pipeline and carry out the orders."""
+        for order in self._decide(message):
+            sink = self._sinks.get(type(order))
+            if sink is not None:
+                sink(order)
+
+    def tick(self) -> None:
+        """Let time limits pass."""
+        self.run(messages.Ticked(now=time.monotonic()))
+
+    def add_body(self, pending: PendingCall, part: bytes) -> None:
+        """Take a further part of a streamed request body."""
+        if pending.exchange is None:
+            pending.body += part
+        else:
+            pending.exchange.send_part(part)
+
+    def end_body(self, pending: PendingCall) -> None:
+        """Note that a streamed request body is whole."""
+        pending.body_ended = True
+        if pending.exchange is not None:
+            pending.exchange.end_body()
+
+    def is_body_full(self, pending: PendingCall) -> bool:
+        """Tell whether the request body should wait."""
+        if pending.exchange is None or pending.exchange.stream is None:
+            return len(pending.body) > self._keep_limit
+        return pending.exchange.stream.is_full
+
+    def _dispatch(self, order: Dispatch) -> None:
+        pending = self.pending[order.call_id]
+        self._reset_answer(pending)
+        server = order.server
+        exchange = Exchange(
+            method=pending.call.method,
+            head=self._encode_head(pending, order),
+            body=bytes(pending.body),
+            body_ended=pending.body_ended,
+            chunked=pending.length is None,
+            begin=lambda head: self._begin_answer(pending, head, server.name),
+            part=lambda part: self._take_answer(pending, part),
+            whole=lambda: self._finish_answer(pending, server.name),
+            failed=lambda end: self._fail_answer(pending, server.name, end),
+        )
+        pending.exchange = exchange
+        limit = max(server.slots, server.connections // max(1, self._count_daemons()))
+        self._metrics.dispatches.labels(server=server.name).inc()
+        pool = self._pools.find(server.address, limit=limit)
+        pool.run(exchange, fresh=not order.idempotent)
+        if pending.call.streamed and pending.resume_caller is not None:
+            pending.body.clear()
+            if exchange.stream is not None:
+                exchange.stream.drained = pending.resume_caller
+            pending.resume_caller()
+
+    def _encode_head(self, pending: PendingCall, order: Dispatch) -> bytes:
+        headers = select_end_to_end(pending.headers, CONTROL_HEADERS)
+        left = max(0.0, order.deadline - time.monotonic())
+        headers.append((b"request-timeout-ms", b"%d" % (left * MILLISECONDS)))
+        if order.fence is not None:
+            headers.append((b"request-not-after", b"%.3f" % order.fence))
+        if order.attempt > 1 or pending.call.retried:
+            headers.append((b"request-attempt", b"%d" % max(2, order.attempt)))
+        if pending.length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif pending.length or pending.call.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"content-length", b"%d" % pending.length))
+        return encode_request_head(pending.call.method, pending.target, headers)
+
+    def _begin_answer(self, pending: PendingCall, head: AnswerHead, server: str) -> None:
+        pending.status = head.status
+        pending.report = _read_report(head)
+        pending.not_run = find_header(head.headers, b"request-outcome") == b"not-run"
+        headers = select_end_to_end(head.headers, CONTROL_HEADERS)
+        pending.start = AnswerStart(
+            status=head.status, headers=headers, length=head.length, server=server
+        )
+
+    def _take_answer(self, pending: PendingCall, part: bytes) -> None:
+        if pending.passed_on:
+            pending.reply.part(part)
+        else:
+            pending.answer += part
+            if len(pending.answer) <= self._keep_limit or pending.not_run:
+                return
+            assert pending.start is not None
+            pending.passed_on = True
+            pending.reply.begin(pending.start)
+            pending.reply.part(bytes(pending.answer))
+            pending.answer.clear()
+        if pending.reply.is_full() and pending.exchange is not None:
+            if pending.exchange.stream is not None:
+                pending.exchange.stream.pause()
+
+    def resume_answer(self, call_id: int) -> None:
+        """Read on from the backend server after the reply had been full."""
+        pending = self.pending.get(call_id)
+        if pending is not None and pending.exchange is not None:
+            if pending.exchange.stream is not None:
+                pending.exchange.stream.resume()
+
+    def _finish_answer(self, pending: PendingCall, server: str) -> None:
+        assert pending.start is not None
+        pending.exchange = None
+        if not pending.passed_on:
+            pending.whole = _keep(pending.start, pending.answer)
+        message = messages.Answered(
+            now=time.monotonic(),
+            call_id=pending.call.id,
+            server=server,
+            status=pending.status,
+            ran=not pending.not_run,
+            report=pending.report,
+            kept=self._remember(pending.whole),
+        )
+        self.run(message)
+
+    def _fail_answer(self, pending: PendingCall, server: str, end: ExchangeEnd) -> None:
+        pending.exchange = None
+        message = messages.DispatchFailed(
+            now=time.monotonic(),
+            call_id=pending.call.id,
+            server=server,
+            sent=end.sent,
+            passed_on=pending.passed_on,
+            refusal=end.refusal,
+        )
+        self.run(message)
+
+    def take_whole(self, pending: PendingCall, peer: str, whole: KeptAnswer | None) -> None:
+        """Take the end of an answer that a peer handed back."""
+        pending.peer = None
+        pending.whole = whole
+        message = messages.PeerAnswered(
+            now=time.monotonic(),
+            call_id=pending.call.id,
+            peer=peer,
+            kept=self._remember(whole),
+        )
+        self.run(message)
+
+    def take_refusal(self, pending: PendingCall, peer: str, refusal: Refusal) -> None:
+        """Take a peer's own answer to a call that was handed to it."""
+        pending.peer = None
+        message = messages.PeerAnswered(
+            now=time.monotonic(), call_id=pending.call.id, peer=peer, refusal=refusal
+        )
+        self.run(message)
+
+    def fail_peer(self, call_id: int, peer: str, *, sent: bool) -> None:
+        """Note that the peer that a call was handed to cannot be reached."""
+        pending = self.pending.get(call_id)
+        if pending is None or pending.peer != peer:
+            return
+        pending.peer = None
+        message = messages.PeerFailed(
+            now=time.monotonic(),
+            call_id=call_id,
+            peer=peer,
+            sent=sent,
+            passed_on=pending.passed_on,
+        )
+        self.run(message)
+
+    def _forward(self, order: messages.Forward) -> None:
+        pending = self.pending[order.call_id]
+        self._reset_answer(pending)
+        pending.peer = order.peer
+        self._metrics.handovers.labels(purpose=order.purpose.value).inc()
+        self.hand_over(order, pending)
+
+    def _cancel(self, order: messages.Cancel) -> None:
+        pending = self.pending.get(order.call_id)
+        if pending is None:
+            return
+        if pending.exchange is not None:
+            pending.exchange.abandon()
+            pending.exchange = None
+        if pending.peer is not None:
+            self.withdraw(order.call_id, pending.peer)
+            pending.peer = None
+
+    def _relay(self, order: messages.Relay) -> None:
+        pending = self.pending.pop(order.call_id, None)
+        if pending is None:
+            return
+        if pending.passed_on:
+            pending.reply.end()
+        else:
+            assert pending.whole is not None
+            pending.reply.send_whole(pending.whole)
+        self._count(pending, codes.OK.name)
+
+    def _replay(self, order: messages.Replay) -> None:
+        pending = self.pending.pop(order.call_id, None)
+        if pending is None:
+            return
+        assert isinstance(order.kept, KeptAnswer)
+        pending.reply.send_whole(order.kept)
+        self._count(pending, codes.OK.name)
+
+    def _refuse(self, order: messages.CallRefused) -> None:
+        pending = self.pending.get(order.call_id)
+        if pending is None:
+            return
+        if pending.passed_on:
+            pending.reply.cut()
+        else:
+            pending.reply.refuse(order.refusal)
+        self._on_decision(
+            messages.Decision(
+                part="gateway",
+                sentence=f"refused with {order.refusal.code.name}: {order.refusal.reason}",
+                call_id=order.call_id,
+            )
+        )
+        if order.runs_on:
+            pending.reply = SILENT_REPLY
+        else:
+            del self.pending[order.call_id]
+        self._count(pending, order.refusal.code.name)
+
+    def _forget(self, order: messages.CallEnded) -> None:
+        self.pending.pop(order.call_id, None)
+
+    def _count(self, pending: PendingCall, result: str) -> None:
+        self._metrics.answers.labels(result=result).inc()
+        self._metrics.latency.observe(time.monotonic() - pending.arrived)
+
+    def _reset_answer(self, pending: PendingCall) -> None:
+        pending.start = None
+        pending.answer.clear()
+        pending.not_run = False
+        pending.whole = None
+        pending.next_part = 0
+
+    def _remember(self, whole: KeptAnswer | None) -> KeptAnswer | None:
+        if whole is None or len(whole.body) > self._remember_limit:
+            return None
+        return whole
+
+
+def _read_report(head: AnswerHead) -> messages.ServerReport:
+    in_flight = find_header(head.headers, b"server-in-flight")
+    return messages.ServerReport(
+        in_flight=int(in_flight) if in_flight is not None and in_flight.isdigit() else None,
+        draining=find_header(head.headers, b"server-state") == b"draining",
+    )
+
+
+def _keep(start: AnswerStart, body: bytearray) -> KeptAnswer:
+    return KeptAnswer(
+        status=start.status,
+        headers=start.headers,
+        body=bytes(body),
+        server=start.server,
+        length=start.length,
+    )
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of one daemon for the platform's collector."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+__all__ = ["Metrics"]
+
+LATENCY_BUCKETS_SECONDS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+
+
+class Metrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter(
+            "dotterelgate_answers", "Answers by result", ["result"], registry=self.registry
+        )
+        self.latency = Histogram(
+            "dotterelgate_latency_seconds",
+            "Seconds from whole request to answer",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "dotterelgate_in_flight", "Requests in progress", registry=self.registry
+        )
+        self.dispatches = Counter(
+            "dotterelgate_dispatches",
+            "Requests sent, by backend server",
+            ["server"],
+            registry=self.registry,
+        )
+        self.handovers = Counter(
+            "dotterelgate_handovers",
+            "Requests handed to a peer, by purpose",
+            ["purpose"],
+            registry=self.registry,
+        )
+        self.measuring_seconds = Counter(
+            "dotterelgate_measuring_seconds",
+            "Slot seconds of backend servers charged to probes",
+            ["service"],
+            registry=self.registry,
+        )
+        self.revision = Gauge(
+            "dotterelgate_configuration_revision",
+            "Revision of the configuration in force",
+            registry=self.registry,
+        )
+        self.control_bytes = Counter(
+            "dotterelgate_control_bytes",
+            "Bytes sent for control, by channel",
+            ["channel"],
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Render all metrics in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -0,0 +1,290 @@
+"""Calls handed to peers and taken from them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+from dotterelgate_border.handover import AnswerPart, HandedCall, Ping, Pong, Withdrawal
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Outcome, Refusal
+from dotterelgate_core.messages import Call, Purpose
+from dotterelgate_daemon.codec import find_header
+from dotterelgate_daemon.gateway import PendingCall
+from dotterelgate_daemon.replies import AnswerStart, KeptAnswer, Reply
+
+if TYPE_CHECKING:
+    from dotterelgate_border.handover import PeerMessage
+    from dotterelgate_core.messages import Forward
+    from dotterelgate_core.peers import PeerTable
+    from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.links import LinkService
+
+__all__ = ["Peering"]
+
+PING_AFTER_SECONDS = 0.2
+SILENT_AFTER_SECONDS = 0.6
+TICK_GAP_SECONDS = 0.3
+
+
+class Peering:
+    """Hands calls over, hands answers back, and notices silent peers.
+
+    :param clock_error: seconds by which wall clocks of two VMs may differ
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        gateway: Gateway,
+        links: LinkService,
+        peers: PeerTable,
+        clock_error: float,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._gateway = gateway
+        self._links = links
+        self._peers = peers
+        self._clock_error = clock_error
+        self._taken: dict[tuple[str, int], int] = {}
+        self._ticked_at = time.monotonic()
+        gateway.hand_over = self.hand_over
+        gateway.withdraw = self.withdraw
+
+    def hand_over(self, order: Forward, pending: PendingCall) -> None:
+        """Hand a call to a peer."""
+        call = pending.call
+        message = HandedCall(
+            sender=self._name,
+            incarnation=self._incarnation,
+            target=order.peer,
+            call_id=call.id,
+            purpose=order.purpose.value,
+            timeout=max(0.0, order.deadline - time.monotonic()),
+            sent_wall=time.time(),
+            fence=order.fence if order.fence is not None else call.fence,
+            retried=call.retried,
+            method=call.method,
+            path=pending.target,
+            headers=pending.headers,
+            body=bytes(pending.body),
+            key=call.key,
+            fingerprint=call.fingerprint,
+        )
+        peer = self._peers.listed.get(order.peer)
+        if peer is None or not self._links.send(order.peer, message, call_id=call.id):
+            self._gateway.fail_peer(call.id, order.peer, sent=False)
+            return
+        peer.waiting.add(call.id)
+        if peer.asked_at is None and len(peer.waiting) == 1:
+            peer.heard_at = time.monotonic()
+
+    def withdraw(self, call_id: int, peer_name: str) -> None:
+        """Tell a peer that nobody waits for a call any more."""
+        peer = self._peers.listed.get(peer_name)
+        if peer is not None:
+            peer.waiting.discard(call_id)
+        message = Withdrawal(sender=self._name, incarnation=self._incarnation, call_id=call_id)
+        self._links.send(peer_name, message, call_id=call_id)
+
+    def hear(self, message: PeerMessage) -> bool:
+        """Take a message that is about calls.
+
+        :returns: whether it was one
+        """
+        self._peers.hear(message.sender, time.monotonic())
+        if isinstance(message, HandedCall):
+            self._take_call(message)
+        elif isinstance(message, AnswerPart):
+            self._take_part(message)
+        elif isinstance(message, Withdrawal):
+            self._take_withdrawal(message)
+        elif isinstance(message, Ping):
+            pong = Pong(sender=self._name, incarnation=self._incarnation)
+            self._links.send(message.sender, pong)
+        else:
+            return isinstance(message, Pong)
+        return True
+
+    def tick(self) -> None:
+        """Ask silent peers whether they work, and give up on those that do not."""
+        now = time.monotonic()
+        gap, self._ticked_at = now - self._ticked_at, now
+        self._links.flush()
+        for peer in list(self._peers.listed.values()):
+            if gap > TICK_GAP_SECONDS:
+                # This process was paused, so the silence is its own.
+                peer.heard_at = now
+                peer.asked_at = None
+            elif not peer.waiting:
+                peer.asked_at = None
+            elif peer.asked_at is not None:
+                if now - peer.asked_at > SILENT_AFTER_SECONDS:
+                    self._give_up(peer.name)
+            elif now - peer.heard_at > PING_AFTER_SECONDS:
+                peer.asked_at = now
+                ping = Ping(sender=self._name, incarnation=self._incarnation)
+                self._links.send(peer.name, ping)
+
+    def _give_up(self, peer_name: str) -> None:
+        peer = self._peers.listed[peer_name]
+        unsent = self._links.take_back(peer_name)
+        waiting, peer.waiting = peer.waiting, set()
+        self._peers.suspect(peer_name, time.monotonic())
+        for call_id in waiting:
+            self._gateway.fail_peer(call_id, peer_name, sent=call_id not in unsent)
+
+    def _take_call(self, message: HandedCall) -> None:
+        late = time.time() - message.sent_wall > message.timeout + self._clock_error
+        if message.target != self._name or late:
+            return
+        call_id = self._gateway.take_id()
+        host = (find_header(message.headers, b"host") or b"").decode("latin-1")
+        call = Call(
+            id=call_id,
+            method=message.method,
+            host=host.rsplit(":", 1)[0].lower(),
+            path=unquote(message.path.partition("?")[0]),
+            key=message.key,
+            fingerprint=message.fingerprint,
+            timeout=message.timeout,
+            retried=message.retried,
+            purpose=Purpose(message.purpose),
+            holder=message.sender if message.fence is not None else None,
+            fence=message.fence,
+        )
+        pending = PendingCall(
+            call=call,
+            target=message.path,
+            headers=message.headers,
+            body=bytearray(message.body),
+            body_ended=True,
+            length=len(message.body),
+            reply=self._make_reply(message),
+            arrived=time.monotonic(),
+        )
+        self._taken[message.sender, message.call_id] = call_id
+        self._gateway.admit(pending)
+
+    def _make_reply(self, handed: HandedCall) -> Reply:
+        part_number = 0
+
+        def send(*, last: bool, **fields) -> None:  # type: ignore[no-untyped-def]
+            nonlocal part_number
+            message = AnswerPart(
+                sender=self._name,
+                incarnation=self._incarnation,
+                call_id=handed.call_id,
+                part=part_number,
+                last=last,
+                **fields,
+            )
+            part_number += 1
+            if last:
+                self._taken.pop((handed.sender, handed.call_id), None)
+            self._links.send(handed.sender, message, call_id=handed.call_id)
+
+        def send_whole(answer: KeptAnswer) -> None:
+            send(
+                last=True,
+                status=answer.status,
+                headers=answer.headers,
+                body=answer.body,
+                server=answer.server,
+                length=answer.length,
+            )
+
+        def begin(answer: AnswerStart) -> None:
+            send(
+                last=False,
+                status=answer.status,
+                headers=answer.headers,
+                server=answer.server,
+                length=answer.length,
+            )
+
+        def refuse(refusal: Refusal) -> None:
+            narrowed = refusal.outcome is Outcome.ATTEMPT_NOT_RUN
+            send(
+                last=True,
+                code=refusal.code.number,
+                reason=refusal.reason,
+                attempt_only=narrowed,
+            )
+
+        return Reply(
+            send_whole=send_whole,
+            begin=begin,
+            part=lambda part: send(last=False, body=part),
+            end=lambda: send(last=True),
+            cut=lambda: send(last=True, cut=True),
+            refuse=refuse,
+            is_full=lambda: self._links.is_full(handed.sender),
+        )
+
+    def _take_part(self, message: AnswerPart) -> None:
+        pending = self._gateway.pending.get(message.call_id)
+        if pending is None or pending.peer != message.sender:
+            return
+        if message.part != pending.next_part or message.cut:
+            self._end_waiting(message)
+            self._gateway.fail_peer(message.call_id, message.sender, sent=True)
+            return
+        pending.next_part += 1
+        if message.last:
+            self._end_waiting(message)
+        if message.code:
+            self._gateway.take_refusal(pending, message.sender, _read_refusal(message))
+        elif message.part == 0 and message.last:
+            self._gateway.take_whole(pending, message.sender, _read_whole(message))
+        else:
+            self._pass_on(pending, message)
+
+    def _pass_on(self, pending: PendingCall, message: AnswerPart) -> None:
+        if message.part == 0:
+            pending.passed_on = True
+            pending.reply.begin(_read_start(message))
+            return
+        if message.body:
+            pending.reply.part(message.body)
+        if message.last:
+            self._gateway.take_whole(pending, message.sender, None)
+
+    def _end_waiting(self, message: AnswerPart) -> None:
+        peer = self._peers.listed.get(message.sender)
+        if peer is not None:
+            peer.waiting.discard(message.call_id)
+
+    def _take_withdrawal(self, message: Withdrawal) -> None:
+        call_id = self._taken.pop((message.sender, message.call_id), None)
+        if call_id is not None:
+            self._gateway.leave(call_id)
+
+
+def _read_refusal(message: AnswerPart) -> Refusal:
+    code = codes.CODES_BY_NUMBER.get(message.code, codes.PEER_LOST)
+    narrowed = Outcome.ATTEMPT_NOT_RUN if message.attempt_only else None
+    return Refusal(code, message.reason, narrowed)
+
+
+def _read_whole(message: AnswerPart) -> KeptAnswer:
+    return KeptAnswer(
+        status=message.status,
+        headers=message.headers,
+        body=message.body,
+        server=message.server,
+        length=message.length,
+    )
+
+
+def _read_start(message: AnswerPart) -> AnswerStart:
+    return AnswerStart(
+        status=message.status,
+        headers=message.headers,
+        length=message.length,
+        server=message.server,
+    )
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -0,0 +1,299 @@
+"""TCP streams on the loop's poller, accepted or opened."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+import structlog
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["Stream", "StreamService", "make_poller"]
+
+logger = structlog.get_logger("streams")
+
+READ_BYTES = 65_536
+HIGH_WATER_BYTES = 262_144
+BACKLOG = 1024
+ACCEPTS_PER_EVENT = 64
+
+
+class _Descriptors(set):
+    """Set with the list methods that the poller uses; lookups stay constant."""
+
+    append = set.add
+
+
+def make_poller() -> EPoll:
+    """Make the poller that all parts share."""
+    poller = EPoll()
+    poller._read = _Descriptors(poller._read)
+    poller._write = _Descriptors(poller._write)
+    return poller
+
+
+class Stream:
+    """One TCP connection.
+
+    :param receive: called with bytes as they arrive
+    :param lost: called once when the connection ended for any reason
+    :param ready: called once when an opened connection is established
+    """
+
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        service: StreamService,
+        receive: Callable[[bytes], None],
+        lost: Callable[[], None],
+        ready: Callable[[], None] | None = None,
+    ) -> None:
+        self.sock = sock
+        self.receive = receive
+        self.lost = lost
+        self.ready = ready
+        self.drained: Callable[[], None] | None = None
+        self.is_open = True
+        self.sent_bytes = 0
+        self._service = service
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self._closes_when_sent = False
+        self._paused = False
+
+    @property
+    def is_full(self) -> bool:
+        """Whether writers should wait for ``drained``."""
+        return self._pending_bytes > HIGH_WATER_BYTES
+
+    def write(self, data: bytes) -> None:
+        """Send now what the kernel takes, and the rest later."""
+        if not self.is_open:
+            return
+        if not self._pending and self.ready is None:
+            data = self._send(data)
+        if data and self.is_open:
+            self._pending.append(data)
+            self._pending_bytes += len(data)
+            self._service.watch_writes(self)
+
+    def close(self) -> None:
+        """Close at once; bytes not sent yet are dropped."""
+        if self.is_open:
+            self.is_open = False
+            self._service.drop(self)
+
+    def close_when_sent(self) -> None:
+        """Close after everything written has been sent."""
+        if not self._pending:
+            self.close()
+        self._closes_when_sent = True
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if self.is_open and not self._paused:
+            self._paused = True
+            self._service.stop_reading(self)
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.is_open and self._paused:
+            self._paused = False
+            self._service.start_reading(self)
+
+    def flush(self) -> None:
+        """Send what waits; called when the kernel has room."""
+        if self.ready is not None and not self._establish():
+            return
+        while self._pending and self.is_open:
+            data = self._pending.popleft()
+            self._pending_bytes -= len(data)
+            rest = self._send(data)
+            if rest:
+                self._pending.appendleft(rest)
+                self._pending_bytes += len(rest)
+                return
+        if not self.is_open:
+            return
+        self._service.unwatch_writes(self)
+        if self._closes_when_sent:
+            self.close()
+        elif self.drained is not None:
+            self.drained()
+
+    def read(self) -> None:
+        """Pass on what the kernel has."""
+        if not self.is_open:
+            return
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.end()
+            return
+        if data:
+            self.receive(data)
+        else:
+            self.end()
+
+    def end(self) -> None:
+        """Close because the other side or the network ended the connection."""
+        if self.is_open:
+            self.close()
+            self.lost()
+
+    def _establish(self) -> bool:
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.end()
+            return False
+        ready, self.ready = self.ready, None
+        if ready is not None:
+            ready()
+        return self.is_open
+
+    def _send(self, data: bytes) -> bytes:
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            return data
+        except OSError:
+            self.end()
+            return b""
+        self.sent_bytes += sent
+        return data[sent:]
+
+
+class StreamService(BaseComponent):
+    """All TCP streams of the daemon."""
+
+    channel = "streams"
+
+    def __init__(self, *, poller: EPoll) -> None:
+        super().__init__()
+        self._poller = poller
+        self._streams: dict[socket.socket, Stream] = {}
+        self._listeners: dict[socket.socket, Callable[[socket.socket], None]] = {}
+
+    def listen(self, *, address: str, accept: Callable[[socket.socket], None]) -> socket.socket:
+        """Listen on ``IP:port`` and call ``accept`` with each new connection.
+
+        :raises OSError: when the address cannot be bound
+        """
+        host, port = address.rsplit(":", 1)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+        self._listeners[sock] = accept
+        self._poller.addReader(self, sock)
+        return sock
+
+    def stop_listening(self, sock: socket.socket) -> None:
+        """Close a listener; accepted connections stay."""
+        if self._listeners.pop(sock, None) is not None:
+            self._poller.discard(sock)
+            sock.close()
+
+    def adopt(
+        self,
+        *,
+        sock: socket.socket,
+        receive: Callable[[bytes], None],
+        lost: Callable[[], None],
+    ) -> Stream:
+        """Take in an accepted connection."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = Stream(sock=sock, service=self, receive=receive, lost=lost)
+        self._streams[sock] = stream
+        self._poller.addReader(self, sock)
+        return stream
+
+    def open(
+        self,
+        *,
+        address: str,
+        ready: Callable[[], None],
+        receive: Callable[[bytes], None],
+        lost: Callable[[], None],
+    ) -> Stream | None:
+        """Open a connection to ``IP:port``.
+
+        :returns: ``None`` when it failed at once
+        """
+        host, port = address.rsplit(":", 1)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.connect_ex((host, int(port))) not in (0, errno.EINPROGRESS):
+            sock.close()
+            return None
+        stream = Stream(sock=sock, service=self, receive=receive, lost=lost, ready=ready)
+        self._streams[sock] = stream
+        self._poller.addReader(self, sock)
+        self._poller.addWriter(self, sock)
+        return stream
+
+    def drop(self, stream: Stream) -> None:
+        """Forget a stream and close its socket."""
+        self._streams.pop(stream.sock, None)
+        self._poller.discard(stream.sock)
+        stream.sock.close()
+
+    def watch_writes(self, stream: Stream) -> None:
+        """Call ``flush`` when the kernel has room."""
+        if not self._poller.isWriting(stream.sock):
+            self._poller.addWriter(self, stream.sock)
+
+    def unwatch_writes(self, stream: Stream) -> None:
+        """Call ``flush`` no more."""
+        if self._poller.isWriting(stream.sock):
+            self._poller.removeWriter(stream.sock)
+
+    def stop_reading(self, stream: Stream) -> None:
+        """Leave arriving bytes with the kernel."""
+        self._poller.removeReader(stream.sock)
+
+    def start_reading(self, stream: Stream) -> None:
+        """Take arriving bytes from the kernel again."""
+        self._poller.addReader(self, stream.sock)
+
+    @handler("_read")
+    def _on_read(self, sock: socket.socket) -> None:
+        stream = self._streams.get(sock)
+        if stream is not None:
+            stream.read()
+        elif sock in self._listeners:
+            self._accept(sock)
+
+    @handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        stream = self._streams.get(sock)
+        if stream is not None:
+            stream.flush()
+
+    @handler("_disconnect", "_error")
+    def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
+        stream = self._streams.get(sock)
+        if stream is not None:
+            stream.end()
+
+    def _accept(self, listener: socket.socket) -> None:
+        for _ in range(ACCEPTS_PER_EVENT):
+            try:
+                sock, _address = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                logger.warning("streams: a connection could not be accepted", error=str(error))
+                return
+            self._listeners[listener](sock)
--- /dev/null
+++ b/packages/dotterelgate-operator/src/dotterelgate_operator/command.py
@@ -0,0 +1,192 @@
+"""Command line of the operator."""
+
+from __future__ import annotations
+
+import getpass
+import json
+import runpy
+import sys
+import time
+from pathlib import Path
+from typing import Annotated
+
+import httpx
+import typer
+
+from dotterelgate_border.checking import InvalidDocumentError, read_document
+from dotterelgate_border.declarations import ConfigurationModel
+from dotterelgate_core.codes import RESULT_CODES
+from dotterelgate_operator.publishing import Publisher, Verdict
+
+__all__ = ["main"]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_LOST_RACE = 3
+EXIT_UNSETTLED = 4
+ASK_SECONDS = 2.0
+POLL_SECONDS = 0.1
+
+_command = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    help="Declare, publish and watch the configuration of dotterelgate.",
+)
+
+Log = Annotated[str, typer.Option(help="Address of the platform's log service, IP:port.")]
+Daemons = Annotated[
+    list[str], typer.Option("--daemon", help="Address of a daemon's endpoint, IP:port.")
+]
+
+
+@_command.command("print")
+def print_declarations(
+    file: Annotated[Path, typer.Argument(help="Python file that prints its declarations.")],
+) -> None:
+    """Run a file of declarations, which prints its configuration as JSON."""
+    if not file.is_file():
+        _fail([f"{file}: no such file; name a Python file with declarations"])
+    try:
+        runpy.run_path(str(file), run_name="__main__")
+    except Exception as error:
+        _fail([f"{file}: {error}"])
+
+
+@_command.command()
+def check(
+    file: Annotated[Path, typer.Argument(help="JSON configuration.")],
+) -> None:
+    """Check a configuration without publishing it."""
+    model = _read(file)
+    servers = sum(len(service.servers) for service in model.services)
+    typer.echo(f"{file}: valid, {len(model.services)} services, {servers} backend servers")
+
+
+@_command.command()
+def publish(
+    file: Annotated[Path, typer.Argument(help="JSON configuration.")],
+    log: Log,
+    daemon: Daemons = [],
+    wait: Annotated[
+        bool, typer.Option("--wait", help="Wait until it is in force on every --daemon.")
+    ] = False,
+    timeout: Annotated[float, typer.Option(min=0.1, help="Seconds to wait at most.")] = 30.0,
+    parent: Annotated[
+        str | None, typer.Option(help="Publish only if this configuration id is in force.")
+    ] = None,
+) -> None:
+    """Publish a configuration; exit 0 accepted, 3 lost a race, 4 not settled."""
+    model = _read(file)
+    if wait and not daemon:
+        _fail(["--wait: needs at least one --daemon; name the daemons to wait for"])
+    started = time.monotonic()
+    publisher = Publisher(log=log, daemons=daemon, tell=_tell)
+    published = publisher.publish(model, operator=getpass.getuser(), wait=timeout, parent=parent)
+    if published.verdict is Verdict.ACCEPTED:
+        typer.echo(f"revision {published.revision} is accepted, id {published.id}")
+    else:
+        _tell(f"{published.verdict.value}: {published.reason}")
+        lost = published.verdict is Verdict.LOST_RACE
+        sys.exit(EXIT_LOST_RACE if lost else EXIT_UNSETTLED)
+    if wait:
+        _wait_for(published.revision, daemon, started + timeout)
+
+
+@_command.command()
+def status(daemon: Daemons) -> None:
+    """Show what each daemon has in force; exit 1 when one cannot be asked."""
+    failed = False
+    typer.echo(f"{'daemon':<22}{'revision':>9}{'in flight':>10}{'held':>6}  state / draining")
+    for address in daemon:
+        document = _ask(address, "/status")
+        if document is None:
+            typer.echo(f"{address:<22}cannot be asked")
+            failed = True
+            continue
+        typer.echo(_format_status(document))
+    sys.exit(EXIT_FAILED if failed else EXIT_OK)
+
+
+@_command.command()
+def explain(
+    daemon: Annotated[str, typer.Option(help="Address of a daemon's endpoint, IP:port.")],
+    path: Annotated[str, typer.Argument(help="Path of the request.")],
+    method: Annotated[str, typer.Option(help="HTTP method.")] = "GET",
+    host: Annotated[str, typer.Option(help="Value of Host.")] = "",
+) -> None:
+    """Explain where a request would go from one daemon, and why."""
+    query = httpx.QueryParams(method=method, host=host, path=path)
+    document = _ask(daemon, f"/explain?{query}")
+    if document is None:
+        _tell(f"{daemon}: cannot be asked; check that the daemon runs")
+        sys.exit(EXIT_FAILED)
+    typer.echo(json.dumps(document, indent=2))
+
+
+@_command.command()
+def codes() -> None:
+    """List the numbered result codes."""
+    for code in RESULT_CODES:
+        typer.echo(
+            f"{code.number:>4}  {code.name:<22}{code.status:>4}  "
+            f"{code.outcome.value:<16}{code.meaning}"
+        )
+
+
+def _read(file: Path) -> ConfigurationModel:
+    try:
+        return read_document(file, ConfigurationModel)
+    except InvalidDocumentError as error:
+        _fail(error.problems)
+        raise
+
+
+def _ask(address: str, path: str) -> dict | None:
+    try:
+        answer = httpx.get(f"http://{address}{path}", timeout=ASK_SECONDS, trust_env=False)
+        return answer.json()
+    except (httpx.HTTPError, ValueError):
+        return None
+
+
+def _format_status(document: dict) -> str:
+    draining = [server["name"] for server in document["servers"] if server["leaving"]]
+    state = "stopping" if document["stopping"] else "serving"
+    return (
+        f"{document['daemon']:<22}{document['revision']:>9}{document['in_flight']:>10}"
+        f"{len(document['held']):>6}  {state} / {', '.join(draining) or 'none'}"
+    )
+
+
+def _wait_for(revision: int, daemons: list[str], deadline: float) -> None:
+    waiting = set(daemons)
+    told_at = time.monotonic()
+    while waiting and time.monotonic() < deadline:
+        for address in sorted(waiting):
+            document = _ask(address, "/status")
+            if document is not None and document["revision"] >= revision:
+                waiting.discard(address)
+        if waiting and time.monotonic() - told_at > 1.0:
+            told_at = time.monotonic()
+            _tell(f"waiting for {', '.join(sorted(waiting))}")
+        time.sleep(POLL_SECONDS if waiting else 0.0)
+    if waiting:
+        _tell(f"revision {revision} is accepted but not yet seen on {', '.join(sorted(waiting))}")
+        sys.exit(EXIT_UNSETTLED)
+    typer.echo(f"revision {revision} is in force on {len(daemons)} daemons")
+
+
+def _tell(line: str) -> None:
+    typer.echo(line, err=True)
+
+
+def _fail(problems: list[str]) -> None:
+    for problem in problems:
+        _tell(problem)
+    sys.exit(EXIT_USAGE)
+
+
+def main() -> None:
+    """Entry point of ``dotterelgate``."""
+    _command()
