Prove that a keyed request runs at most once, on the decision core with a fake clock

Ruled out: the lease rule itself. 30,000 random histories of competing claims with short retention (trial) gave no reader that knew a wrong record.

Change: leases end by both clocks, so a paused VM that stops one is fenced; the latest time to start is the lease's end; a handed call carries an absolute time after which it is not taken; a daemon that was paused refuses non-idempotent requests that may have waited unread (code 112); settled calls leave the queue.

--- /dev/null
+++ b/features/subjects/chain.py
@@ -0,0 +1,101 @@
+"""Subject: the order of competing records on the log."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from dotterelgate_core.chain import Chain, Link
+
+
+@dataclass
+class Reader:
+    """One reader of the log that may claim."""
+
+    chain: Chain
+    read_to: int
+    oldest: int = 0
+
+    def read(self, log: list[Link], oldest: int) -> None:
+        """Read all that is retained, beginning again after a gap."""
+        if oldest > self.read_to:
+            self.chain.begin(start=oldest)
+            self.read_to = oldest
+        for offset in range(self.read_to, len(log)):
+            self.chain.read(log[offset])
+        self.read_to = len(log)
+        self.oldest = oldest
+        self.chain.expire(oldest=oldest)
+
+    def may_claim(self) -> bool:
+        """Tell whether a claim may be written from what is known here."""
+        return self.chain.known or not self.chain.unjudged
+
+
+@dataclass
+class ChainHistory:
+    """A random history of claims by readers that see the log late and in part."""
+
+    seed: int
+    strict: bool = True
+    log: list[Link] = field(default_factory=list)
+    disagreements: list[str] = field(default_factory=list)
+    accepted: int = 0
+
+    def run(self, steps: int) -> None:
+        """Run the history and compare every reader with one that read everything."""
+        rng = random.Random(self.seed)
+        witness = Reader(chain=Chain(), read_to=0)
+        witness.chain.begin(start=0)
+        readers = [self._make_reader() for _ in range(3)]
+        retention = rng.choice((3, 5, 8, 1000))
+        for _ in range(steps):
+            oldest = max(0, len(self.log) - retention)
+            self._step(rng, readers, oldest)
+            witness.read(self.log, 0)
+        for reader in readers:
+            reader.read(self.log, max(0, len(self.log) - retention))
+            self._compare(reader, witness)
+        self.accepted += witness.chain.current is not None
+
+    def _make_reader(self) -> Reader:
+        chain = Chain()
+        chain.begin(start=0)
+        return Reader(chain=chain, read_to=0)
+
+    def _step(self, rng: random.Random, readers: list[Reader], oldest: int) -> None:
+        action = rng.random()
+        chosen = rng.randrange(len(readers))
+        reader = readers[chosen]
+        if action < 0.4:
+            reader.read(self.log, oldest)
+        elif action < 0.9:
+            self._claim(reader)
+        else:
+            fresh = Reader(chain=Chain(), read_to=oldest, oldest=oldest)
+            fresh.chain.begin(start=oldest)
+            readers[chosen] = fresh
+            fresh.read(self.log, oldest)
+
+    def _claim(self, reader: Reader) -> None:
+        # A frozen claimer appends long after it read, which is why it says to where.
+        if self.strict and not reader.may_claim():
+            return
+        current = reader.chain.current
+        link = Link(
+            id=f"claim-{len(self.log)}",
+            previous=current.id if current is not None else None,
+            offset=len(self.log),
+            read_to=reader.read_to,
+            oldest=reader.oldest,
+            body=None,
+        )
+        self.log.append(link)
+
+    def _compare(self, reader: Reader, witness: Reader) -> None:
+        if not reader.chain.known:
+            return
+        seen = reader.chain.current.id if reader.chain.current else None
+        true = witness.chain.current.id if witness.chain.current else None
+        if seen != true:
+            self.disagreements.append(f"seed {self.seed}: {seen} instead of {true}")
--- /dev/null
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/clock.py
@@ -0,0 +1,45 @@
+"""Fake clock that runs scheduled functions in order."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+__all__ = ["FakeClock"]
+
+
+@dataclass(kw_only=True)
+class FakeClock:
+    """Time that only passes from one scheduled function to the next.
+
+    :param now: seconds since the start
+    """
+
+    now: float = 0.0
+    _due: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    _order: Iterator[int] = field(default_factory=itertools.count)
+
+    def schedule(self, delay: float, call: Callable[[], None]) -> None:
+        """Run a function after ``delay`` seconds."""
+        heapq.heappush(self._due, (self.now + delay, next(self._order), call))
+
+    def repeat(self, interval: float, call: Callable[[], None]) -> None:
+        """Run a function every ``interval`` seconds."""
+
+        def again() -> None:
+            call()
+            self.schedule(interval, again)
+
+        self.schedule(interval, again)
+
+    def run_until(self, end: float) -> None:
+        """Run everything that is due before ``end``."""
+        while self._due and self._due[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._due)
+            call()
+        self.now = end
--- /dev/null
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
@@ -0,0 +1,486 @@
+"""Fakes at the decision interface: backend servers, log and network on a fake clock."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from dotterelgate_core import codes, messages
+from dotterelgate_core.chain import Link
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.control import (
+    CONFIGURATION_RESOURCE,
+    AppendClaims,
+    ControlTicked,
+    GrantRead,
+    LogPosition,
+    LogRead,
+    PublicationRead,
+    ReadingBegan,
+    make_control_pipeline,
+)
+from dotterelgate_core.engine import make_request_pipeline
+from dotterelgate_core.keys import KeyTable
+from dotterelgate_core.leases import LeaseTable
+from dotterelgate_core.messages import Call, Purpose, ServerReport
+from dotterelgate_core.peers import Peer, PeerTable
+from dotterelgate_core.state import DaemonState, Limits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from dotterelgate_bench.clock import FakeClock
+    from dotterelgate_core.configuration import Configuration
+
+    Reply = Callable[[Refusal | None, object | None], None]
+
+__all__ = ["ModelDaemon", "ModelLog", "ModelServer", "Network", "Run"]
+
+TICK_SECONDS = 0.02
+SILENT_SECONDS = 0.8
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """One entry of a backend server's ledger."""
+
+    at: float
+    key: str | None
+    attempt: str
+
+
+@dataclass(kw_only=True)
+class ModelServer:
+    """Backend server with slots and a first-come queue.
+
+    :param draw: draws the seconds that a request takes if it starts now
+    :param heeds_fence: whether it refuses what may no longer start
+    """
+
+    clock: FakeClock
+    slots: int
+    draw: Callable[[ModelServer, Call], float]
+    heeds_fence: bool = True
+    busy: int = 0
+    waiting: deque[Callable[[], None]] = field(default_factory=deque)
+    ledger: list[Run] = field(default_factory=list)
+    used_seconds: float = 0.0
+
+    def submit(
+        self, call: Call, fence: float | None, attempt: str, done: Callable[[bool], None]
+    ) -> Callable[[], None]:
+        """Take a request; ``done`` gets whether it ran. Returns its cancellation."""
+        is_live = [True]
+
+        def cancel() -> None:
+            is_live[0] = False
+
+        def start() -> None:
+            if not is_live[0]:
+                self._next()
+                return
+            if self.heeds_fence and fence is not None and self.clock.now > fence:
+                done(False)
+                self._next()
+                return
+            self.ledger.append(Run(at=self.clock.now, key=call.key, attempt=attempt))
+            seconds = self.draw(self, call)
+            self.used_seconds += seconds
+            self.clock.schedule(seconds, finish)
+
+        def finish() -> None:
+            done(True)
+            self._next()
+
+        self.enter(start)
+        return cancel
+
+    def enter(self, start: Callable[[], None]) -> None:
+        """Start now or when a slot is free."""
+        if self.busy < self.slots:
+            self.busy += 1
+            start()
+        else:
+            self.waiting.append(start)
+
+    def _next(self) -> None:
+        self.busy -= 1
+        if self.waiting:
+            self.busy += 1
+            self.waiting.popleft()()
+
+    def count(self) -> int:
+        """Count requests that it works on or queues."""
+        return self.busy + len(self.waiting)
+
+
+@dataclass(kw_only=True)
+class ModelLog:
+    """Append-only log with limited retention and outages.
+
+    :param retention: records that are kept
+    """
+
+    clock: FakeClock
+    retention: int = 10_000
+    is_down: bool = False
+    records: list[Any] = field(default_factory=list)
+
+    @property
+    def oldest(self) -> int:
+        """Oldest offset that is retained."""
+        return max(0, len(self.records) - self.retention)
+
+    def append(self, record: Any) -> bool:
+        """Append a record unless the log is down."""
+        if self.is_down:
+            return False
+        self.records.append(record)
+        return True
+
+
+@dataclass(kw_only=True)
+class Network:
+    """Delays, and who cannot reach whom."""
+
+    clock: FakeClock
+    random: Random
+    delay: float = 0.0004
+    cut: set[frozenset[str]] = field(default_factory=set)
+
+    def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
+        """Deliver after a delay unless the two are cut off from each other."""
+        if frozenset((source, target)) not in self.cut:
+            self.clock.schedule(self.delay * self.random.uniform(0.8, 1.5), deliver)
+
+
+@dataclass(kw_only=True)
+class _Pending:
+    call: Call
+    attempt: str
+    reply: Reply
+    cancel: Callable[[], None] | None = None
+    handed: int = 0
+
+
+class ModelDaemon:
+    """The decision pipelines of one daemon on the fake clock.
+
+    :param skew: seconds that its wall clock is ahead of the true time
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        run: int,
+        clock: FakeClock,
+        network: Network,
+        log: ModelLog,
+        servers: dict[str, ModelServer],
+        random: Random,
+        key_ranges: int = 4,
+        lease_length: float = 5.0,
+        key_retention: float = 60.0,
+        clock_error: float = 0.25,
+        skew: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.incarnation = f"{name}.{run}"
+        self.clock = clock
+        self.network = network
+        self.log = log
+        self.servers = servers
+        self.random = random
+        self.skew = skew
+        self.peers: dict[str, ModelDaemon] = {}
+        self.is_frozen = False
+        self.is_dead = False
+        self.freeze_before_orders: Callable[[Any], bool] = lambda orders: False
+        self.decisions = 0
+        self._inbox: deque[Callable[[], None]] = deque()
+        self._pending: dict[int, _Pending] = {}
+        self._next_id = run * 1_000_000
+        self._read_to: int | None = None
+        self.state = DaemonState(
+            name=name,
+            limits=Limits(key_ranges=key_ranges, clock_error=clock_error),
+            peers=PeerTable(name=name),
+            leases=LeaseTable(
+                holder=name, incarnation=self.incarnation, address="", length=lease_length
+            ),
+            keys=KeyTable(retention=key_retention, limit=100_000),
+        )
+        self.position = LogPosition(confirm_interval=60.0)
+        resources = [f"keys/{number}" for number in range(key_ranges)]
+        self._control = make_control_pipeline(
+            self.state, self.position, [*resources, CONFIGURATION_RESOURCE]
+        )
+        self._decide = make_request_pipeline(self.state, random)
+        self._sinks: dict[type, Callable[[Any], None]] = {
+            messages.Dispatch: self._dispatch,
+            messages.Forward: self._forward,
+            messages.Cancel: self._cancel,
+            messages.Relay: lambda order: self._answer(order.call_id, None, "answer"),
+            messages.Replay: lambda order: self._answer(order.call_id, None, order.kept),
+            messages.CallRefused: self._refuse,
+            messages.CallEnded: self._end,
+            AppendClaims: self._append_claims,
+        }
+
+    def start(self, *, tick: float = TICK_SECONDS, poll: float | None = None) -> None:
+        """Begin ticking and, if ``poll`` seconds are given, reading the log."""
+        self.clock.repeat(tick, lambda: self.receive(self._tick))
+        if poll is not None:
+            self.clock.repeat(poll, lambda: self.receive(self.poll))
+
+    def meet(self, others: list[ModelDaemon]) -> None:
+        """Make other daemons known."""
+        for other in others:
+            if other.name != self.name:
+                self.peers[other.name] = other
+                self.state.peers.listed[other.name] = Peer(name=other.name, address="")
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        link = Link(
+            id=configuration.id,
+            previous=None,
+            offset=0,
+            read_to=0,
+            oldest=0,
+            body=configuration,
+        )
+        self.state.configuration.chain.begin(start=0)
+        self._run_control(PublicationRead(now=self.clock.now, link=link))
+
+    def receive(self, work: Callable[[], None]) -> None:
+        """Do work, later if frozen and never if dead."""
+        if self.is_dead:
+            return
+        if self.is_frozen:
+            self._inbox.append(work)
+        else:
+            work()
+
+    def thaw(self) -> None:
+        """Go on after a freeze, first with what arrived meanwhile."""
+        self.is_frozen = False
+        while self._inbox and not self.is_frozen:
+            self._inbox.popleft()()
+
+    def call(self, call_fields: dict[str, Any], attempt: str, reply: Reply) -> int:
+        """Take a request from a caller or peer.
+
+        :returns: its call id here
+        """
+        self._next_id += 1
+        call = Call(id=self._next_id, **call_fields)
+        self._pending[call.id] = _Pending(call=call, attempt=attempt, reply=reply)
+        self._run(messages.CallArrived(now=self.clock.now, wall=self.wall(), call=call))
+        return call.id
+
+    def leave(self, call_id: int) -> None:
+        """Note that the caller left."""
+        self._run(messages.CallerLeft(now=self.clock.now, call_id=call_id))
+
+    def wall(self) -> float:
+        """Read this daemon's wall clock."""
+        return self.clock.now + self.skew
+
+    def poll(self) -> None:
+        """Read the log and let leases become due."""
+        if not self.log.is_down:
+            self._read_log()
+        self._run_control(ControlTicked(now=self.clock.now, wall=self.wall()))
+
+    def _tick(self) -> None:
+        self._run(messages.Ticked(now=self.clock.now))
+
+    def _read_log(self) -> None:
+        oldest = self.log.oldest
+        if self._read_to is None or oldest > self._read_to:
+            self._run_control(ReadingBegan(now=self.clock.now, start=oldest))
+            self._read_to = oldest
+        for offset in range(self._read_to, len(self.log.records)):
+            for claim, read_to, seen_oldest in self.log.records[offset]:
+                link = Link(
+                    id=claim.id,
+                    previous=claim.previous,
+                    offset=offset,
+                    read_to=read_to,
+                    oldest=seen_oldest,
+                    body=claim.grant,
+                )
+                self._run_control(GrantRead(now=self.clock.now, link=link))
+        self._read_to = len(self.log.records)
+        read = LogRead(now=self.clock.now, read_to=self._read_to, oldest=oldest)
+        self._run_control(read)
+
+    def _run(self, message: Any) -> None:
+        self.decisions += 1
+        self._carry_out(self._decide(message))
+
+    def _run_control(self, message: Any) -> None:
+        self._carry_out(self._control(message))
+
+    def _carry_out(self, orders: Any) -> None:
+        def act() -> None:
+            for order in orders:
+                sink = self._sinks.get(type(order))
+                if sink is not None:
+                    sink(order)
+
+        if orders and self.freeze_before_orders(orders):
+            self._inbox.appendleft(act)
+            return
+        act()
+
+    def _append_claims(self, order: AppendClaims) -> None:
+        record = [(claim, order.read_to, order.oldest) for claim in order.claims]
+        delay = self.network.delay * self.random.uniform(1, 20)
+
+        def append() -> None:
+            self.log.append(record)
+
+        self.clock.schedule(delay, append)
+
+    def _dispatch(self, order: messages.Dispatch) -> None:
+        pending = self._pending.get(order.call_id)
+        server = self.servers[order.server.name]
+        name = order.server.name
+        assert pending is not None
+        cancelled = [False]
+
+        def answer(ran: bool) -> None:
+            report = ServerReport(in_flight=server.count())
+            if not cancelled[0]:
+                self._hear(
+                    name,
+                    lambda: messages.Answered(
+                        now=self.clock.now,
+                        call_id=order.call_id,
+                        server=name,
+                        status=200,
+                        ran=ran,
+                        report=report,
+                        kept="kept",
+                    ),
+                )
+
+        def submit() -> None:
+            withdraw = server.submit(pending.call, order.fence, pending.attempt, answer)
+
+            def cancel() -> None:
+                cancelled[0] = True
+                self.network.send(self.name, name, withdraw)
+
+            pending.cancel = cancel
+
+        self.network.send(self.name, name, submit)
+        self.clock.schedule(
+            order.deadline - self.clock.now + SILENT_SECONDS,
+            lambda: self.receive(lambda: self._lose(order.call_id, name)),
+        )
+
+    def _hear(self, source: str, build: Callable[[], Any]) -> None:
+        def deliver() -> None:
+            self.receive(lambda: self._run(build()))
+
+        self.network.send(source, self.name, deliver)
+
+    def _lose(self, call_id: int, server: str) -> None:
+        call_state = self.state.calls.states.get(call_id)
+        if call_state is None or call_state.server != server:
+            return
+        refusal = Refusal(codes.ANSWER_LOST, "no answer")
+        self._run(
+            messages.DispatchFailed(
+                now=self.clock.now,
+                call_id=call_id,
+                server=server,
+                sent=True,
+                passed_on=False,
+                refusal=refusal,
+            )
+        )
+
+    def _forward(self, order: messages.Forward) -> None:
+        pending = self._pending[order.call_id]
+        peer = self.peers[order.peer]
+        fields: dict[str, Any] = {
+            "method": pending.call.method,
+            "host": pending.call.host,
+            "path": pending.call.path,
+            "key": pending.call.key,
+            "fingerprint": pending.call.fingerprint,
+            "timeout": order.deadline - self.clock.now,
+            "purpose": Purpose(order.purpose),
+            "holder": self.name if order.fence is not None else None,
+            "fence": order.fence,
+        }
+        answered = [False]
+
+        def reply(refusal: Refusal | None, kept: object | None) -> None:
+            def build() -> messages.PeerAnswered:
+                answered[0] = True
+                return messages.PeerAnswered(
+                    now=self.clock.now,
+                    call_id=order.call_id,
+                    peer=order.peer,
+                    refusal=refusal,
+                    kept=kept,
+                )
+
+            self._hear(order.peer, build)
+
+        def take() -> None:
+            if peer.wall() <= order.expires + self.state.limits.clock_error:
+                note(peer.call(fields, pending.attempt, reply))
+
+        def hand() -> None:
+            peer.receive(take)
+
+        def note(remote_id: int) -> None:
+            pending.cancel = lambda: self.network.send(
+                self.name, order.peer, lambda: peer.receive(lambda: peer.leave(remote_id))
+            )
+
+        def give_up() -> None:
+            if not answered[0] and (peer.is_dead or peer.is_frozen or self._is_cut(peer)):
+                self._run(
+                    messages.PeerFailed(
+                        now=self.clock.now, call_id=order.call_id, peer=order.peer, sent=True
+                    )
+                )
+            elif not answered[0] and order.call_id in self.state.calls.states:
+                self.clock.schedule(SILENT_SECONDS, lambda: self.receive(give_up))
+
+        self.network.send(self.name, order.peer, hand)
+        self.clock.schedule(SILENT_SECONDS, lambda: self.receive(give_up))
+
+    def _is_cut(self, peer: ModelDaemon) -> bool:
+        return frozenset((self.name, peer.name)) in self.network.cut
+
+    def _cancel(self, order: messages.Cancel) -> None:
+        pending = self._pending.get(order.call_id)
+        if pending is not None and pending.cancel is not None:
+            pending.cancel()
+
+    def _refuse(self, order: messages.CallRefused) -> None:
+        pending = self._pending.get(order.call_id)
+        if pending is None:
+            return
+        if not order.runs_on:
+            del self._pending[order.call_id]
+        pending.reply(order.refusal, None)
+
+    def _end(self, order: messages.CallEnded) -> None:
+        self._pending.pop(order.call_id, None)
+
+    def _answer(self, call_id: int, refusal: Refusal | None, kept: object | None) -> None:
+        pending = self._pending.pop(call_id, None)
+        if pending is not None:
+            pending.reply(refusal, kept)
--- a/packages/dotterelgate-border/src/dotterelgate_border/handover.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/handover.py
@@ -39,14 +39,15 @@
     :param call_id: id in the sending daemon
     :param purpose: ``hold`` or ``own``
     :param timeout: seconds left to the caller
-    :param sent_wall: wall-clock second of sending
+    :param expires: wall-clock second after which it must not be taken
+    :param fence: wall-clock second after which no backend server must start it
     """
 
     target: str
     call_id: int
     purpose: str
     timeout: float
-    sent_wall: float
+    expires: float
     fence: float | None
     retried: bool
     method: str
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -88,6 +88,9 @@
 NO_CONFIGURATION = ResultCode(
     111, "no_configuration", 503, _NOT_RUN, "This daemon has no configuration in force yet."
 )
+STALE = ResultCode(
+    112, "stale", 503, _NOT_RUN, "The request may have waited unread while the daemon was paused."
+)
 DEADLINE_PASSED = ResultCode(
     200, "deadline_passed", 504, _NOT_RUN, "The time limit passed before dispatch."
 )
--- a/packages/dotterelgate-core/src/dotterelgate_core/control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from dotterelgate_core.leases import Moment
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.peers import Peer
 from dotterelgate_core.pipes import connect
@@ -115,9 +116,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ControlTicked:
-    """Time passed; leases and confirmations may be due."""
+    """Time passed; leases and confirmations may be due.
+
+    :param wall: wall-clock second read before ``now``
+    """
 
     now: float
+    wall: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -318,7 +323,8 @@
         due = state.leases.select_due(message.now, usable, state.peers.gone, position.oldest)
         if not due:
             return (message,)
-        claims = tuple(state.leases.prepare(resource, message.now) for resource in due)
+        moment = Moment(now=message.now, wall=message.wall)
+        claims = tuple(state.leases.prepare(resource, moment) for resource in due)
         order = AppendClaims(claims=claims, read_to=position.read_to, oldest=position.oldest)
         return (order, message)
 
@@ -329,7 +335,7 @@
     def confirm(message: Message) -> Iterable[Message]:
         if not isinstance(message, ControlTicked):
             return (message,)
-        if not _is_confirmation_due(state, position, message.now):
+        if not _is_confirmation_due(state, position, message):
             return ()
         position.asked_at = message.now
         current = state.configuration.current
@@ -339,14 +345,15 @@
     return confirm
 
 
-def _is_confirmation_due(state: DaemonState, position: LogPosition, now: float) -> bool:
+def _is_confirmation_due(state: DaemonState, position: LogPosition, ticked: ControlTicked) -> bool:
+    now = ticked.now
     chain = state.configuration.chain
     current = state.configuration.current
     if position.read_to is None or not chain.known or current is None or chain.current is None:
         return False
     if chain.current.id != current.id or now - position.asked_at < 1.0:
         return False
-    if not state.leases.holds(CONFIGURATION_RESOURCE, now):
+    if not state.leases.holds(CONFIGURATION_RESOURCE, now, ticked.wall):
         return False
     if position.confirmed_offset < position.oldest:
         return True
--- a/packages/dotterelgate-core/src/dotterelgate_core/holding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/holding.py
@@ -83,7 +83,7 @@
         return [CallRefused(call_id=call.id, refusal=speak_for_attempt(refusal))]
     digest = digest_key(routed.service.name, call.key or "")
     resource = find_range(digest, state.limits.key_ranges)
-    if state.leases.holds(resource, routed.now):
+    if state.leases.holds(resource, routed.now, routed.wall):
         return _claim_key(state, routed, call_state, resource, digest)
     holder = _find_other_holder(state, resource, routed.now)
     if holder is None or call.purpose is Purpose.HOLD:
@@ -95,6 +95,7 @@
             peer=holder,
             purpose=Purpose.HOLD,
             deadline=routed.deadline,
+            expires=routed.expires,
             fence=None,
         ),
         Decision(
@@ -137,7 +138,7 @@
     messages: list[Message] = []
     for call_id, routed in list(parked.items()):
         del parked[call_id]
-        if call_id not in state.calls.states:
+        if call_id not in state.calls.states or now >= routed.deadline:
             continue
         again = replace(routed, now=now, wall=routed.wall + (now - routed.now))
         messages.extend(_hold_call(state, parked, again))
@@ -166,13 +167,12 @@
     )
     state.keys.size += 1
     call_state.digest = digest
-    call_state.fence = _find_fence(state, routed, resource)
+    call_state.fence = _find_fence(state, resource)
     return [routed]
 
 
-def _find_fence(state: DaemonState, routed: CallRouted, resource: str) -> float:
-    remaining = state.leases.leases[resource].ends_at - routed.now
-    return routed.wall + remaining - state.limits.clock_error
+def _find_fence(state: DaemonState, resource: str) -> float:
+    return state.leases.leases[resource].ends_wall - state.limits.clock_error
 
 
 def _open_range(state: DaemonState, resource: str, routed: CallRouted) -> KeyRange:
--- a/packages/dotterelgate-core/src/dotterelgate_core/leases.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/leases.py
@@ -13,7 +13,7 @@
 
     from dotterelgate_core.chain import Link
 
-__all__ = ["Claim", "Grant", "Lease", "LeaseTable", "Tenure"]
+__all__ = ["Claim", "Grant", "Lease", "LeaseTable", "Moment", "Tenure"]
 
 DRIFT_SHARE = 0.01
 RENEWAL_SHARE = 1 / 3
@@ -40,6 +40,18 @@
     transfer: str | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Moment:
+    """One moment by both clocks, the wall clock read first.
+
+    :param now: monotonic second
+    :param wall: wall-clock second
+    """
+
+    now: float
+    wall: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Claim:
     """A grant that this daemon wants to append to the log."""
@@ -72,6 +84,7 @@
     :param chain: accepted grant by the log's order
     :param read_at: monotonic second at which the accepted grant was read
     :param ends_at: monotonic second at which this daemon's own lease ends
+    :param ends_wall: the same by the wall clock, which a paused VM cannot stop
     :param tenure: set while this daemon is the accepted holder
     :param claimed_at: monotonic second of a claim not read back yet
     :param closing: whether this daemon hands the resource over
@@ -80,6 +93,7 @@
     chain: Chain = field(default_factory=Chain)
     read_at: float = 0.0
     ends_at: float = 0.0
+    ends_wall: float = 0.0
     tenure: Tenure | None = None
     claimed_at: float | None = None
     closing: bool = False
@@ -95,7 +109,7 @@
     :param length: seconds of a lease
     :param started_at: monotonic second at which reading the log began
     :param leases: by resource
-    :param sent: monotonic second before which each own claim was sent, by grant id
+    :param sent: when each own claim was about to be sent, by grant id
     """
 
     holder: str
@@ -104,7 +118,7 @@
     length: float
     started_at: float = 0.0
     leases: dict[str, Lease] = field(default_factory=dict)
-    sent: dict[str, float] = field(default_factory=dict)
+    sent: dict[str, Moment] = field(default_factory=dict)
     next_claim: int = 0
 
     def begin(self, *, resources: Collection[str], start: int, now: float) -> None:
@@ -116,14 +130,21 @@
             lease.tenure = None
             lease.read_at = now
 
-    def holds(self, resource: str, now: float) -> bool:
-        """Tell whether this daemon alone may act on the resource now."""
-        lease = self.leases[resource]
-        return lease.tenure is not None and now < lease.ends_at and not lease.closing
+    def holds(self, resource: str, now: float, wall: float) -> bool:
+        """Tell whether this daemon alone may act on the resource now.
+
+        :param wall: wall-clock second read before ``now``
+        """
+        lease = self.leases.get(resource)
+        if lease is None:
+            return False
+        lasts = now < lease.ends_at and wall < lease.ends_wall
+        return lease.tenure is not None and lasts and not lease.closing
 
     def find_holder(self, resource: str) -> Grant | None:
         """Find the accepted grant, lapsed or not."""
-        current = self.leases[resource].chain.current
+        lease = self.leases.get(resource)
+        current = lease.chain.current if lease is not None else None
         return current.body if current is not None else None
 
     def read(self, link: Link, now: float) -> bool:
@@ -144,8 +165,8 @@
         self._follow(lease, before, now)
         return True
 
-    def prepare(self, resource: str, now: float, transfer_to: Grant | None = None) -> Claim:
-        """Write a claim, counting its length from now, before it is sent."""
+    def prepare(self, resource: str, moment: Moment, transfer_to: Grant | None = None) -> Claim:
+        """Write a claim, counting its length from a moment before it is sent."""
         lease = self.leases[resource]
         current = lease.chain.current
         self.next_claim += 1
@@ -158,8 +179,9 @@
             length=self.length,
         )
         if transfer_to is None:
-            self.sent[claim_id] = now
-            lease.claimed_at = now
+            self._forget_sent(moment.now)
+            self.sent[claim_id] = moment
+            lease.claimed_at = moment.now
         previous = current.id if current is not None else None
         return Claim(id=claim_id, previous=previous, grant=grant)
 
@@ -224,11 +246,13 @@
         if current is None or current.body is None or not self._is_mine(current.body):
             lease.tenure = None
             return
-        sent_at = self.sent.get(current.id)
-        if sent_at is None:
+        sent = self.sent.pop(current.id, None)
+        if sent is None:
             lease.tenure = None
             return
-        lease.ends_at = sent_at + current.body.length * (1 - DRIFT_SHARE)
+        length = current.body.length * (1 - DRIFT_SHARE)
+        lease.ends_at = sent.now + length
+        lease.ends_wall = sent.wall + length
         follows_own = before is not None and before.id == current.previous
         if lease.tenure is not None and follows_own:
             return
@@ -239,9 +263,15 @@
             transfer=current.body.transfer,
         )
 
-    def expect_transfer(self, claim_id: str, now: float) -> None:
+    def expect_transfer(self, claim_id: str, moment: Moment) -> None:
         """Note that a peer will grant a resource to this daemon under this id."""
-        self.sent[claim_id] = now
+        self.sent[claim_id] = moment
+
+    def _forget_sent(self, now: float) -> None:
+        # A claim this old would be granted for a time that has passed.
+        old = [key for key, sent in self.sent.items() if now - sent.now > self.length]
+        for key in old:
+            del self.sent[key]
 
     def _is_mine(self, grant: Grant) -> bool:
         return grant.holder == self.holder and grant.incarnation == self.incarnation
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -56,6 +56,7 @@
     :param timeout: seconds that the caller still waits, if it said so
     :param streamed: whether the body is too large to be kept
     :param retried: whether a caller further up retries already
+    :param waited: seconds that it may have waited unread while the daemon was paused
     :param purpose: why a peer handed it over; ``None`` when from a caller
     :param holder: daemon that holds its key and fences it, if it was held before
     :param fence: wall-clock second after which it must not start, if held
@@ -70,6 +71,7 @@
     timeout: float | None = None
     streamed: bool = False
     retried: bool = False
+    waited: float = 0.0
     purpose: Purpose | None = None
     holder: str | None = None
     fence: float | None = None
@@ -95,6 +97,11 @@
     route: Route
     deadline: float
 
+    @property
+    def expires(self) -> float:
+        """Wall-clock second of the time limit."""
+        return self.wall + (self.deadline - self.now)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallParked:
@@ -235,14 +242,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Forward:
-    """Order to hand a call to a peer."""
+    """Order to hand a call to a peer.
+
+    :param deadline: monotonic second at which the answer is given up
+    :param expires: wall-clock second after which the peer must not take it
+    :param fence: wall-clock second after which no backend server must start it
+    """
 
     call_id: int
     peer: str
     purpose: Purpose
     deadline: float
+    expires: float
     fence: float | None
-    retried: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/owning.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/owning.py
@@ -57,6 +57,7 @@
             peer=owner,
             purpose=Purpose.OWN,
             deadline=routed.deadline,
+            expires=routed.expires,
             fence=call_state.fence,
         ),
         Decision(
--- a/packages/dotterelgate-core/src/dotterelgate_core/routes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/routes.py
@@ -19,6 +19,8 @@
 
 __all__ = ["find_route", "make_route_filter"]
 
+UNREAD_LIMIT_SECONDS = 1.0
+
 
 def make_route_filter(state: DaemonState) -> Filter:
     """Make the filter from arrived to routed calls."""
@@ -54,6 +56,8 @@
     if found is None:
         return _refuse(call, codes.NO_ROUTE, f"no route for {call.method} {call.path}")
     service, route = found
+    if call.waited > UNREAD_LIMIT_SECONDS and not route.idempotent:
+        return _refuse(call, codes.STALE, f"may have waited {call.waited:.1f} s unread")
     timeout = route.timeout if call.timeout is None else min(call.timeout, route.timeout)
     if timeout <= 0:
         return _refuse(call, codes.DEADLINE_PASSED, "the time limit had passed on arrival")
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -255,6 +255,8 @@
 def _settle_deadline(state: DaemonState, call_state: CallState, now: float) -> list[Message]:
     dispatched = call_state.server is not None or call_state.peer is not None
     if not dispatched and not call_state.joined:
+        # It must not get a slot that is freed at the same moment.
+        call_state.queued = False
         refusal = Refusal(codes.DEADLINE_PASSED, "the time limit passed while waiting")
         return _end(now, call_state.call.id, _speak_for_attempt(call_state, refusal), ran=False)
     refusal = Refusal(codes.DEADLINE_EXCEEDED, "the time limit passed after dispatch")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -34,7 +34,7 @@
 from dotterelgate_daemon.peering import Peering
 from dotterelgate_daemon.platform import LogClient, PlatformClient, VmListClient
 from dotterelgate_daemon.streams import StreamService, make_poller
-from dotterelgate_daemon.timers import TimerService
+from dotterelgate_daemon.timers import PauseWatch, TimerService
 
 if TYPE_CHECKING:
     from dotterelgate_border.handover import PeerMessage
@@ -141,6 +141,8 @@
     write_decision = make_decision_writer(settings.name)
     poller = make_poller()
     timers = TimerService()
+    watch = PauseWatch()
+    timers.subscribe(interval=TICK_SECONDS, call=watch.beat)
     metrics = Metrics()
     streams = StreamService(poller=poller)
     pools = PoolTable(streams=streams)
@@ -162,6 +164,7 @@
         head_limit=settings.head_limit,
         body_limit=settings.kept_body_limit,
         connection_limit=settings.caller_connections,
+        watch=watch,
     )
     hearers: list = []
     links = LinkService(
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -32,6 +32,7 @@
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.replies import AnswerStart, KeptAnswer
     from dotterelgate_daemon.streams import StreamService
+    from dotterelgate_daemon.timers import PauseWatch
 
 __all__ = ["CallerGate"]
 
@@ -46,6 +47,7 @@
     head: RequestHead
     body: bytearray = field(default_factory=bytearray)
     ended: bool = False
+    waited: float = 0.0
     pending: PendingCall | None = None
 
 
@@ -55,6 +57,7 @@
     :param head_limit: bytes of a request head at most
     :param body_limit: bytes of a request body that are kept, larger ones stream
     :param connection_limit: connections at once at most
+    :param watch: tells how long a request may have waited unread
     """
 
     def __init__(
@@ -65,8 +68,10 @@
         head_limit: int,
         body_limit: int,
         connection_limit: int,
+        watch: PauseWatch,
     ) -> None:
         self.streams = streams
+        self.watch = watch
         self.gateway = gateway
         self.head_limit = head_limit
         self.body_limit = body_limit
@@ -106,6 +111,7 @@
         self._current: _Incoming | None = None
         self._refusal: Refusal | None = None
         self._chunked = False
+        self._waited = 0.0
         self._reader = RequestReader(
             head_limit=gate.head_limit,
             begin=self._begin,
@@ -121,6 +127,7 @@
             self._gate.connections.discard(self)
 
     def _receive(self, data: bytes) -> None:
+        self._waited = self._gate.watch.measure()
         self._reader.feed(data)
         self._hold_back()
 
@@ -132,7 +139,7 @@
             self._gate.gateway.leave(current.pending.call.id)
 
     def _begin(self, head: RequestHead) -> None:
-        self._arriving = _Incoming(head=head)
+        self._arriving = _Incoming(head=head, waited=self._waited)
         self._waiting.append(self._arriving)
         if head.expects_continue and len(self._waiting) == 1 and self._current is None:
             self._stream.write(CONTINUE)
@@ -227,6 +234,7 @@
             timeout=timeout,
             streamed=streamed,
             retried=find_header(head.headers, b"request-attempt") is not None,
+            waited=incoming.waited,
         )
 
     def _list_headers(self, head: RequestHead) -> HeaderList:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -19,6 +19,7 @@
 
 def describe_daemon(state: DaemonState, position: LogPosition, incarnation: str) -> dict:
     """Describe a daemon as a JSON document for ``dotterelgate status``."""
+    wall = time.time()
     now = time.monotonic()
     current = state.configuration.current
     return {
@@ -29,7 +30,7 @@
         "log_read_to": position.read_to,
         "stopping": state.peers.leaving,
         "in_flight": len(state.calls.states),
-        "held": [each for each in state.leases.leases if state.leases.holds(each, now)],
+        "held": [each for each in state.leases.leases if state.leases.holds(each, now, wall)],
         "keys": state.keys.size,
         "peers": sorted(state.peers.listed),
         "servers": [_describe_server(each, now) for each in state.servers.states.values()],
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
@@ -144,7 +144,8 @@
 
     def tick(self) -> None:
         """Let leases and confirmations become due."""
-        self.run(control.ControlTicked(now=time.monotonic()))
+        wall = time.time()
+        self.run(control.ControlTicked(now=time.monotonic(), wall=wall))
 
     def tell_leaving(self, server: str) -> None:
         """Share a sign that a backend server is leaving, by peers and by the log."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -65,7 +65,7 @@
             call_id=call.id,
             purpose=order.purpose.value,
             timeout=max(0.0, order.deadline - time.monotonic()),
-            sent_wall=time.time(),
+            expires=order.expires,
             fence=order.fence if order.fence is not None else call.fence,
             retried=call.retried,
             method=call.method,
@@ -139,7 +139,7 @@
             self._gateway.fail_peer(call_id, peer_name, sent=call_id not in unsent)
 
     def _take_call(self, message: HandedCall) -> None:
-        late = time.time() - message.sent_wall > message.timeout + self._clock_error
+        late = time.time() > message.expires + self._clock_error
         if message.target != self._name or late:
             return
         call_id = self._gateway.take_id()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/timers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/timers.py
@@ -12,7 +12,47 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["TimerService"]
+__all__ = ["PauseWatch", "TimerService"]
+
+PAUSE_SECONDS = 0.5
+AFTERMATH_SECONDS = 0.25
+
+
+class PauseWatch:
+    """Notices that the process or its VM was paused.
+
+    A paused process does not know it, and what it reads first afterwards may
+    have waited as long. Both clocks are watched, since a paused VM may stop one.
+    """
+
+    def __init__(self) -> None:
+        self._beat = self._read_clocks()
+        self._pause = 0.0
+        self._paused_until = float("-inf")
+
+    def beat(self) -> None:
+        """Say that the loop is running; called at a short interval."""
+        gap = self._find_gap()
+        self._beat = self._read_clocks()
+        if gap > PAUSE_SECONDS:
+            self._pause = gap
+            self._paused_until = time.monotonic()
+
+    def measure(self) -> float:
+        """Measure how long something read now may have waited, in seconds."""
+        gap = self._find_gap()
+        if gap > PAUSE_SECONDS:
+            return gap
+        since = time.monotonic() - self._paused_until
+        return self._pause if since < AFTERMATH_SECONDS else 0.0
+
+    def _find_gap(self) -> float:
+        wall, now = self._read_clocks()
+        return max(wall - self._beat[0], now - self._beat[1])
+
+    @staticmethod
+    def _read_clocks() -> tuple[float, float]:
+        return time.time(), time.monotonic()
 
 
 class TimerService(BaseComponent):
