--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -43,6 +43,7 @@
     :param part: called with each part of its body
     :param whole: called once when the answer is whole
     :param failed: called once when it will not be
+    :param drained: called when more of the request's body can be taken
     """
 
     def __init__(
@@ -57,9 +58,11 @@
         part: Callable[[bytes], None],
         whole: Callable[[], None],
         failed: Callable[[ExchangeEnd], None],
+        drained: Callable[[], None] | None = None,
     ) -> None:
         self._head = head
-        self._first = body
+        self._first = bytearray(body)
+        self._drained = drained
         self._body_ended = body_ended
         self._chunked = chunked
         self._whole = whole
@@ -75,18 +78,35 @@
         """Send the request on an established stream."""
         self.stream = stream
         self._base = stream.sent_bytes
+        first = bytes(self._first)
         data = self._head
-        if self._first:
-            data += encode_chunk(self._first) if self._chunked else self._first
+        if first:
+            data += encode_chunk(first) if self._chunked else first
         if self._body_ended and self._chunked:
             data += LAST_CHUNK
+        stream.drained = self._drained
         stream.write(data)
+        if self._drained is not None and not stream.is_full:
+            self._drained()
 
     def send_part(self, part: bytes) -> None:
         """Send a further part of the request's body."""
-        if self.stream is not None and not self._is_over:
+        if self._is_over:
+            return
+        if self.stream is None:
+            self._first += part
+        else:
             self.stream.write(encode_chunk(part) if self._chunked else part)
 
+    def is_body_full(self, limit: int) -> bool:
+        """Tell whether further parts of the request's body should wait.
+
+        :param limit: bytes that are kept until the connection is established
+        """
+        if self.stream is None:
+            return len(self._first) > limit
+        return self.stream.is_full
+
     def end_body(self) -> None:
         """Say that the request's body is whole."""
         self._body_ended = True
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -177,9 +177,9 @@
 
     def is_body_full(self, pending: PendingCall) -> bool:
         """Tell whether the request body should wait."""
-        if pending.exchange is None or pending.exchange.stream is None:
+        if pending.exchange is None:
             return len(pending.body) > self._keep_limit
-        return pending.exchange.stream.is_full
+        return pending.exchange.is_body_full(self._keep_limit)
 
     def _dispatch(self, order: Dispatch) -> None:
         pending = self.pending[order.call_id]
@@ -195,17 +195,13 @@
             part=lambda part: self._take_answer(pending, part),
             whole=lambda: self._finish_answer(pending, server.name),
             failed=lambda end: self._fail_answer(pending, server.name, end),
+            drained=pending.resume_caller if pending.call.streamed else None,
         )
         pending.exchange = exchange
         limit = max(server.slots, server.connections // max(1, self._count_daemons()))
         self._metrics.dispatches.labels(server=server.name).inc()
         pool = self._pools.find(server.address, limit=limit)
         pool.run(exchange, fresh=not order.idempotent)
-        if pending.call.streamed and pending.resume_caller is not None:
-            pending.body.clear()
-            if exchange.stream is not None:
-                exchange.stream.drained = pending.resume_caller
-            pending.resume_caller()
 
     def _encode_head(self, pending: PendingCall, order: Dispatch) -> bytes:
         headers = select_end_to_end(pending.headers, CONTROL_HEADERS)
