Hand key ranges over on planned stops; pass the log on between daemons while it is down

Cause: a stopping daemon left its key ranges standing until their leases lapsed. The first protocol closed a range before its grant was on the log.

Ruled out: longer waits.

Change: the holder serves on until it reads its own grant to the successor on the log, then sends the keys; the successor waits for them or for the lapse of the old lease. A peer is used again only when it is heard; a new run of it is not leaving.

--- a/features/subjects/core.py
+++ b/features/subjects/core.py
@@ -7,12 +7,13 @@
 from dotterelgate_core import messages
 from dotterelgate_core.chain import Link
 from dotterelgate_core.configuration import BackendServer, Configuration, Route, Service
-from dotterelgate_core.control import LogPosition, PublicationRead, make_control_pipeline
+from dotterelgate_core.control import make_control_pipeline
+from dotterelgate_core.control_messages import PublicationRead
 from dotterelgate_core.engine import make_request_pipeline
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.peers import PeerTable
-from dotterelgate_core.state import DaemonState, Limits
+from dotterelgate_core.state import DaemonState, Limits, LogPosition
 
 SEED = 11
 
--- a/features/subjects/system.py
+++ b/features/subjects/system.py
@@ -98,9 +98,13 @@
         chosen = names or list(self.fleet.daemons)
         return self.fleet.wait_for_revision(self.revision, seconds=seconds, names=chosen)
 
+    def find_range(self, key: str) -> str:
+        """Find the range that a key belongs to."""
+        return find_range(digest_key("bakery", key), KEY_RANGES)
+
     def find_key_holder(self, key: str, names=None) -> str:
         """Find which daemon holds a key's range."""
-        resource = find_range(digest_key("bakery", key), KEY_RANGES)
+        resource = self.find_range(key)
         for name in names or self.fleet.daemons:
             status = self.fleet.read_status(name)
             if status is not None and resource in status["held"]:
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
@@ -111,8 +111,8 @@
         """Start the log service and the list of VMs."""
         self.log = self._start_stand_in("log", "log")
         self.vms = self._start_stand_in("vms", "vms")
-        self._wait_for_port(self.log.address)
-        self._wait_for_port(self.vms.address)
+        self._wait_for_port(self.log)
+        self._wait_for_port(self.vms)
 
     def start_server(self, name: str, **options: Any) -> Process:
         """Start a backend server; options are those of its stand-in command."""
@@ -157,7 +157,7 @@
         """Wait until every process that runs accepts connections."""
         for process in [*self.servers.values(), *self.daemons.values()]:
             if not process.has_ended():
-                self._wait_for_port(process.address)
+                self._wait_for_port(process)
 
     def list_vm(self, name: str, *, role: str, address: str = "", state: str = "live") -> None:
         """Set one VM of the platform's list."""
@@ -241,14 +241,16 @@
         address = self._need(self.vms).address
         self.client.post(f"http://{address}/vms", json=document).raise_for_status()
 
-    def _wait_for_port(self, address: str) -> None:
-        host, port = address.split(":")
+    def _wait_for_port(self, process: Process) -> None:
+        host, port = process.address.split(":")
 
         def accepts() -> bool:
+            if process.has_ended():
+                raise RuntimeError(f"{process.name} ended at once; see {process.log_path}")
             with socket.socket() as sock:
                 return sock.connect_ex((host, int(port))) == 0
 
-        wait_until(accepts, seconds=START_SECONDS, what=f"{address} accepts connections")
+        wait_until(accepts, seconds=START_SECONDS, what=f"{process.name} accepts connections")
 
     @staticmethod
     def _need(process: Process | None) -> Process:
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
@@ -9,23 +9,21 @@
 from dotterelgate_core import codes, messages
 from dotterelgate_core.chain import Link
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.control import (
-    CONFIGURATION_RESOURCE,
+from dotterelgate_core.control import CONFIGURATION_RESOURCE, make_control_pipeline
+from dotterelgate_core.control_messages import (
     AppendClaims,
     ControlTicked,
     GrantRead,
-    LogPosition,
     LogRead,
     PublicationRead,
     ReadingBegan,
-    make_control_pipeline,
 )
 from dotterelgate_core.engine import make_request_pipeline
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.messages import Call, Purpose, ServerReport
 from dotterelgate_core.peers import Peer, PeerTable
-from dotterelgate_core.state import DaemonState, Limits
+from dotterelgate_core.state import DaemonState, Limits, LogPosition
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -297,6 +295,9 @@
         self._run_control(ControlTicked(now=self.clock.now, wall=self.wall()))
 
     def _tick(self) -> None:
+        for name, peer in self.peers.items():
+            if not (peer.is_dead or peer.is_frozen or self._is_cut(peer)):
+                self.state.peers.hear(name, peer.incarnation, self.clock.now)
         self._run(messages.Ticked(now=self.clock.now))
 
     def _read_log(self) -> None:
--- a/packages/dotterelgate-border/src/dotterelgate_border/handover.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/handover.py
@@ -15,6 +15,10 @@
     "PeerMessage",
     "Ping",
     "Pong",
+    "RangeOffer",
+    "RangeTaken",
+    "RecordsAsked",
+    "RecordsTold",
     "Withdrawal",
     "decode_message",
     "encode_message",
@@ -113,18 +117,55 @@
     """One settled or unknown key of a range that is handed over."""
 
     digest: bytes
-    fingerprint: bytes
+    fingerprint: int
     state: str
     age: float
     kept: bytes | None
     code: int
 
 
-class HandedKeys(_Message, frozen=True):
-    """All keys of a range, before its lease is granted to the receiver.
+class RecordsAsked(_Message, frozen=True):
+    """Question for records of the log, while the log cannot be read.
+
+    :param start: first offset wanted, or ``None`` for all that the peer has
+    """
+
+    start: int | None
+
+
+class RecordsTold(_Message, frozen=True):
+    """Records of the log as the sender read them, without gaps.
+
+    :param page: a page of the log as JSON
+    """
+
+    page: bytes
+
+
+class RangeOffer(_Message, frozen=True):
+    """A leased range that the sender would grant to the receiver.
 
     :param transfer: id of the grant that will follow
-    :param history_age: seconds since keys may have run elsewhere, if they may
+    """
+
+    target: str
+    resource: str
+    transfer: str
+
+
+class RangeTaken(_Message, frozen=True):
+    """Answer to :class:`RangeOffer`."""
+
+    resource: str
+    transfer: str
+
+
+class HandedKeys(_Message, frozen=True):
+    """All keys of a range that was granted to the receiver.
+
+    :param transfer: id of that grant
+    :param history_from: wall-clock second before which keys may have run elsewhere
+    :param history_left: seconds for which such keys may still come
     """
 
     target: str
@@ -150,6 +191,10 @@
     | Pong
     | LeavingNotice
     | ConfigurationOffer
+    | RecordsAsked
+    | RecordsTold
+    | RangeOffer
+    | RangeTaken
     | HandedKeys
     | KeysTaken
 )
--- a/packages/dotterelgate-core/src/dotterelgate_core/control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from dotterelgate_core.control_messages import (
+    AppendClaims,
+    AppendConfirmation,
+    ConfigurationChanged,
+    ConfigurationHeard,
+    ConfirmationRead,
+    ControlTicked,
+    GrantRead,
+    LeavingHeard,
+    LogRead,
+    PublicationRead,
+    ReadingBegan,
+    VmsRead,
+)
+from dotterelgate_core.handovers import make_handover_filter
 from dotterelgate_core.leases import Moment
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.peers import Peer
@@ -14,157 +28,12 @@
     from collections.abc import Iterable
 
     from dotterelgate_core.chain import Link
-    from dotterelgate_core.configuration import Configuration
-    from dotterelgate_core.leases import Claim
     from dotterelgate_core.pipes import Filter, Message
-    from dotterelgate_core.state import DaemonState
-
-__all__ = [
-    "AppendClaims",
-    "AppendConfirmation",
-    "ConfigurationChanged",
-    "ConfigurationHeard",
-    "ControlTicked",
-    "GrantRead",
-    "LeavingHeard",
-    "LogRead",
-    "ReadingBegan",
-    "VmsRead",
-    "make_control_pipeline",
-]
+    from dotterelgate_core.state import DaemonState, LogPosition
 
-CONFIGURATION_RESOURCE = "configuration"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ReadingBegan:
-    """Reading the log begins, or begins again after records were lost."""
-
-    now: float
-    start: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PublicationRead:
-    """A configuration stands on the log; the link's body is it."""
-
-    now: float
-    link: Link
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfirmationRead:
-    """A daemon's statement of the configuration in force stands on the log."""
-
-    now: float
-    link: Link
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationHeard:
-    """A peer has this configuration in force."""
-
-    now: float
-    peer: str
-    configuration: Configuration
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class GrantRead:
-    """A grant stands on the log; the link's body is it."""
-
-    now: float
-    link: Link
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LogRead:
-    """All records below ``read_to`` have been read."""
-
-    now: float
-    read_to: int
-    oldest: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LeavingHeard:
-    """A source says that a backend server is leaving."""
-
-    now: float
-    server: str
-    source: str
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Vm:
-    """One VM of the platform's list."""
+__all__ = ["CONFIGURATION_RESOURCE", "make_control_pipeline"]
 
-    name: str
-    is_entry: bool
-    zone: str
-    address: str
-    state: str
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class VmsRead:
-    """The platform's list of VMs, which lags."""
-
-    now: float
-    vms: tuple[Vm, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ControlTicked:
-    """Time passed; leases and confirmations may be due.
-
-    :param wall: wall-clock second read before ``now``
-    """
-
-    now: float
-    wall: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AppendClaims:
-    """Order to append grants to the log in one record."""
-
-    claims: tuple[Claim, ...]
-    read_to: int
-    oldest: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AppendConfirmation:
-    """Order to append the configuration in force to the log again."""
-
-    configuration: Configuration
-    read_to: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationChanged:
-    """A newer configuration is in force here."""
-
-    now: float
-    configuration: Configuration
-    source: str
-
-
-@dataclass(kw_only=True, slots=True)
-class LogPosition:
-    """How far this daemon has read the log, and what it appended last.
-
-    :param confirm_interval: seconds between confirmations of the configuration
-    """
-
-    confirm_interval: float
-    read_to: int | None = None
-    oldest: int = 0
-    confirmed_offset: int = -1
-    confirmed_at: float = float("-inf")
-    asked_at: float = float("-inf")
-    signs: dict[str, set[str]] = field(default_factory=dict)
+CONFIGURATION_RESOURCE = "configuration"
 
 
 def make_control_pipeline(
@@ -172,7 +41,7 @@
 ) -> Filter:
     """Make the pipeline of everything that is not about one call.
 
-    It writes ``AppendClaims``, ``AppendConfirmation``, ``ConfigurationChanged``,
+    It writes ``AppendClaims``, ``SendKeys``, ``AppendConfirmation``, ``ConfigurationChanged``,
     ``SlotFreed`` and ``Decision``.
 
     :param resources: names of all leased resources
@@ -183,6 +52,7 @@
         _make_lease_filter(state),
         _make_leaving_filter(state),
         _make_vms_filter(state),
+        make_handover_filter(state, position),
         _make_claim_filter(state, position),
         _make_confirmation_filter(state, position),
     )
@@ -297,7 +167,7 @@
         if peer is None or peer.address != vm.address:
             peer = Peer(name=vm.name, address=vm.address, zone=vm.zone, heard_at=read.now)
             state.peers.listed[vm.name] = peer
-        peer.leaving = peer.leaving or vm.state == "leaving"
+        peer.listed_leaving = vm.state == "leaving"
 
 
 def _follow_servers(state: DaemonState, read: VmsRead) -> list[Message]:
@@ -319,7 +189,7 @@
     def claim(message: Message) -> Iterable[Message]:
         if not isinstance(message, ControlTicked) or position.read_to is None:
             return (message,)
-        usable = state.peers.select_usable(message.now)
+        usable = state.peers.select_usable()
         due = state.leases.select_due(message.now, usable, state.peers.gone, position.oldest)
         if not due:
             return (message,)
--- a/packages/dotterelgate-core/src/dotterelgate_core/holding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/holding.py
@@ -31,11 +31,10 @@
     from collections.abc import Iterable
 
     from dotterelgate_core.calls import CallState
-    from dotterelgate_core.leases import Tenure
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_holding_filter", "make_key_settling_filter"]
+__all__ = ["make_holding_filter", "make_key_settling_filter", "open_range"]
 
 
 def make_holding_filter(state: DaemonState) -> Filter:
@@ -65,6 +64,29 @@
     return settle
 
 
+def open_range(state: DaemonState, resource: str, *, now: float, wall: float) -> KeyRange:
+    """Open a held range under the tenure that it is held by.
+
+    Keys of an earlier tenure only stay when the previous holder handed them over.
+
+    :param now: monotonic second
+    :param wall: wall-clock second
+    """
+    tenure = state.leases.leases[resource].tenure
+    assert tenure is not None
+    key_range = state.keys.ranges.setdefault(resource, KeyRange())
+    if key_range.tenure == tenure.id:
+        return key_range
+    if tenure.transfer is None or key_range.tenure != tenure.transfer:
+        taken_over_at = wall - (now - tenure.since)
+        since = taken_over_at + state.limits.clock_error
+        key_range.entries = {}
+        key_range.history_from = None if tenure.history_known else since
+        key_range.history_until = tenure.since + state.keys.retention
+    key_range.tenure = tenure.id
+    return key_range
+
+
 def needs_holder(routed: CallRouted) -> bool:
     """Tell whether a call runs under the protection of its key."""
     call = routed.call
@@ -85,7 +107,7 @@
     resource = find_range(digest, state.limits.key_ranges)
     if state.leases.holds(resource, routed.now, routed.wall):
         return _claim_key(state, routed, call_state, resource, digest)
-    holder = _find_other_holder(state, resource, routed.now)
+    holder = _find_other_holder(state, resource)
     if holder is None or call.purpose is Purpose.HOLD:
         return _park(state, parked, routed, resource)
     call_state.peer = holder
@@ -108,11 +130,11 @@
     ]
 
 
-def _find_other_holder(state: DaemonState, resource: str, now: float) -> str | None:
+def _find_other_holder(state: DaemonState, resource: str) -> str | None:
     grant = state.leases.find_holder(resource)
     if grant is None or grant.holder == state.name or grant.holder in state.peers.gone:
         return None
-    return grant.holder if state.peers.can_use(grant.holder, now) else None
+    return grant.holder if state.peers.can_use(grant.holder) else None
 
 
 def _park(
@@ -152,7 +174,7 @@
     resource: str,
     digest: int,
 ) -> list[Message]:
-    key_range = _open_range(state, resource, routed)
+    key_range = open_range(state, resource, now=routed.now, wall=routed.wall)
     entry = key_range.entries.get(digest)
     if entry is not None:
         return _answer_from_entry(routed, call_state, entry)
@@ -175,27 +197,6 @@
     return state.leases.leases[resource].ends_wall - state.limits.clock_error
 
 
-def _open_range(state: DaemonState, resource: str, routed: CallRouted) -> KeyRange:
-    tenure = state.leases.leases[resource].tenure
-    assert tenure is not None
-    key_range = state.keys.ranges.setdefault(resource, KeyRange())
-    if key_range.tenure == tenure.id:
-        return key_range
-    if tenure.transfer is None or key_range.tenure != tenure.transfer:
-        key_range.entries = {}
-        key_range.history_from = _find_history(state, routed, tenure)
-        key_range.history_until = tenure.since + state.keys.retention
-    key_range.tenure = tenure.id
-    return key_range
-
-
-def _find_history(state: DaemonState, routed: CallRouted, tenure: Tenure) -> float | None:
-    if tenure.history_known:
-        return None
-    taken_over_at = routed.wall - (routed.now - tenure.since)
-    return taken_over_at + state.limits.clock_error
-
-
 def _refuse_key(state: DaemonState, key_range: KeyRange, routed: CallRouted) -> Refusal | None:
     if state.keys.size >= state.keys.limit:
         return Refusal(codes.KEYS_FULL, "the table of idempotency keys is full")
--- a/packages/dotterelgate-core/src/dotterelgate_core/leases.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/leases.py
@@ -87,7 +87,8 @@
     :param ends_wall: the same by the wall clock, which a paused VM cannot stop
     :param tenure: set while this daemon is the accepted holder
     :param claimed_at: monotonic second of a claim not read back yet
-    :param closing: whether this daemon hands the resource over
+    :param waits_until: monotonic second until which the previous holder may still act
+    :param arrived: id of the transfer whose keys this daemon has
     """
 
     chain: Chain = field(default_factory=Chain)
@@ -96,7 +97,8 @@
     ends_wall: float = 0.0
     tenure: Tenure | None = None
     claimed_at: float | None = None
-    closing: bool = False
+    waits_until: float = 0.0
+    arrived: str | None = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -110,6 +112,8 @@
     :param started_at: monotonic second at which reading the log began
     :param leases: by resource
     :param sent: when each own claim was about to be sent, by grant id
+    :param given: resources just granted away, with the id of the transfer
+    :param is_retired: whether this daemon acts on nothing any more
     """
 
     holder: str
@@ -120,6 +124,8 @@
     leases: dict[str, Lease] = field(default_factory=dict)
     sent: dict[str, Moment] = field(default_factory=dict)
     next_claim: int = 0
+    given: dict[str, str] = field(default_factory=dict)
+    is_retired: bool = False
 
     def begin(self, *, resources: Collection[str], start: int, now: float) -> None:
         """Begin, or begin again after a gap, to read the log at ``start``."""
@@ -138,8 +144,11 @@
         lease = self.leases.get(resource)
         if lease is None:
             return False
-        lasts = now < lease.ends_at and wall < lease.ends_wall
-        return lease.tenure is not None and lasts and not lease.closing
+        if lease.tenure is None or self.is_retired:
+            return False
+        if not self._is_open(lease, lease.tenure, now):
+            return False
+        return now < lease.ends_at and wall < lease.ends_wall
 
     def find_holder(self, resource: str) -> Grant | None:
         """Find the accepted grant, lapsed or not."""
@@ -165,23 +174,29 @@
         self._follow(lease, before, now)
         return True
 
-    def prepare(self, resource: str, moment: Moment, transfer_to: Grant | None = None) -> Claim:
+    def prepare(self, resource: str, moment: Moment) -> Claim:
         """Write a claim, counting its length from a moment before it is sent."""
-        lease = self.leases[resource]
-        current = lease.chain.current
-        self.next_claim += 1
-        claim_id = f"{self.incarnation}/{self.next_claim}"
-        grant = transfer_to or Grant(
+        grant = Grant(
             resource=resource,
             holder=self.holder,
             incarnation=self.incarnation,
             address=self.address,
             length=self.length,
         )
-        if transfer_to is None:
-            self._forget_sent(moment.now)
-            self.sent[claim_id] = moment
-            lease.claimed_at = moment.now
+        claim = self.build_claim(self.take_id(), grant)
+        self._forget_sent(moment.now)
+        self.sent[claim.id] = moment
+        self.leases[resource].claimed_at = moment.now
+        return claim
+
+    def take_id(self) -> str:
+        """Take the next id for a claim."""
+        self.next_claim += 1
+        return f"{self.incarnation}/{self.next_claim}"
+
+    def build_claim(self, claim_id: str, grant: Grant) -> Claim:
+        """Write a claim that follows the accepted grant."""
+        current = self.leases[grant.resource].chain.current
         previous = current.id if current is not None else None
         return Claim(id=claim_id, previous=previous, grant=grant)
 
@@ -205,7 +220,7 @@
         return due
 
     def _is_renewal_due(self, lease: Lease, now: float) -> bool:
-        if lease.tenure is None or lease.closing:
+        if lease.tenure is None:
             return False
         return lease.ends_at - now < self.length * (1 - RENEWAL_SHARE)
 
@@ -241,8 +256,11 @@
 
     def _follow(self, lease: Lease, before: Link | None, now: float) -> None:
         current = lease.chain.current
+        outlasts = lease.read_at + self._outlast(self._find_length(before))
         lease.read_at = now
-        lease.closing = False
+        if lease.tenure is not None and self._is_given(current):
+            assert current is not None
+            self.given[current.body.resource] = current.id
         if current is None or current.body is None or not self._is_mine(current.body):
             lease.tenure = None
             return
@@ -250,6 +268,7 @@
         if sent is None:
             lease.tenure = None
             return
+        lease.waits_until = outlasts
         length = current.body.length * (1 - DRIFT_SHARE)
         lease.ends_at = sent.now + length
         lease.ends_wall = sent.wall + length
@@ -263,9 +282,33 @@
             transfer=current.body.transfer,
         )
 
+    def note_arrival(self, resource: str, transfer: str) -> None:
+        """Note that the keys of a transfer are here."""
+        self.leases[resource].arrived = transfer
+
     def expect_transfer(self, claim_id: str, moment: Moment) -> None:
-        """Note that a peer will grant a resource to this daemon under this id."""
-        self.sent[claim_id] = moment
+        """Note that a peer will grant a resource to this daemon under this id.
+
+        Only the first moment counts, since the grant may be on the log already
+        when the announcement comes again.
+        """
+        self.sent.setdefault(claim_id, moment)
+
+    def _is_open(self, lease: Lease, tenure: Tenure, now: float) -> bool:
+        if tenure.transfer is None or lease.arrived == tenure.transfer:
+            return True
+        return now >= lease.waits_until
+
+    def _is_given(self, current: Link | None) -> bool:
+        if current is None or current.body is None:
+            return False
+        return current.body.transfer is not None and not self._is_mine(current.body)
+
+    def _find_length(self, before: Link | None) -> float:
+        if before is None or before.body is None:
+            return self.length
+        length: float = before.body.length
+        return length
 
     def _forget_sent(self, now: float) -> None:
         # A claim this old would be granted for a time that has passed.
--- a/packages/dotterelgate-core/src/dotterelgate_core/owning.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/owning.py
@@ -25,7 +25,7 @@
             return (message,)
         if not policies[message.service.policy].owned or not _may_leave(state, message):
             return (message,)
-        owner = find_owner(state, message.service.name, message.now)
+        owner = find_owner(state, message.service.name)
         if owner == state.name:
             return (message,)
         return _hand_over(state, message, owner)
@@ -33,9 +33,9 @@
     return own
 
 
-def find_owner(state: DaemonState, service: str, now: float) -> str:
+def find_owner(state: DaemonState, service: str) -> str:
     """Find the daemon that owns a service's queue, as seen from here."""
-    usable = state.peers.select_usable(now)
+    usable = state.peers.select_usable()
     if not usable:
         return state.name
     return rank_by_rendezvous(service, usable)[0]
--- a/packages/dotterelgate-core/src/dotterelgate_core/peers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/peers.py
@@ -12,8 +12,6 @@
 
 __all__ = ["Peer", "PeerTable", "rank_by_rendezvous"]
 
-SUSPICION_SECONDS = 2.0
-
 
 def rank_by_rendezvous(subject: str, names: Iterable[str]) -> list[str]:
     """Order names by rendezvous hashing, the preferred one first."""
@@ -25,8 +23,10 @@
     """One other daemon.
 
     :param address: where it listens for peers
-    :param leaving: whether it or the platform said that it stops
-    :param suspected_until: monotonic second until which it is not chosen
+    :param incarnation: which run of it was heard last
+    :param leaving: whether that run said that it stops
+    :param listed_leaving: whether the platform lists its VM as leaving
+    :param is_suspected: whether it left a question unanswered and was not heard since
     :param heard_at: monotonic second of its last message
     :param asked_at: monotonic second of the oldest question that it has not answered
     """
@@ -34,8 +34,10 @@
     name: str
     address: str
     zone: str = ""
+    incarnation: str = ""
     leaving: bool = False
-    suspected_until: float = 0.0
+    listed_leaving: bool = False
+    is_suspected: bool = False
     heard_at: float = 0.0
     asked_at: float | None = None
     waiting: set[int] = field(default_factory=set)
@@ -56,34 +58,36 @@
     gone: set[str] = field(default_factory=set)
     leaving: bool = False
 
-    def select_usable(self, now: float) -> list[str]:
+    def select_usable(self) -> list[str]:
         """Name the daemons that new work may go to, this one included."""
         usable = [
             peer.name
             for peer in self.listed.values()
-            if not peer.leaving and peer.suspected_until <= now
+            if not (peer.leaving or peer.listed_leaving or peer.is_suspected)
         ]
         if not self.leaving:
             usable.append(self.name)
         return usable
 
-    def hear(self, name: str, now: float) -> None:
-        """Note that a message of a peer arrived."""
+    def hear(self, name: str, incarnation: str, now: float) -> None:
+        """Note that a message of a peer arrived; a new run is not leaving."""
         peer = self.listed.get(name)
         if peer is None:
             return
+        if peer.incarnation != incarnation:
+            peer.incarnation = incarnation
+            peer.leaving = False
         peer.heard_at = now
         peer.asked_at = None
-        peer.suspected_until = 0.0
+        peer.is_suspected = False
 
-    def suspect(self, name: str, now: float) -> None:
-        """Choose others than this peer for a while."""
+    def suspect(self, name: str) -> None:
+        """Choose others than this peer until it is heard again."""
         peer = self.listed.get(name)
         if peer is not None:
-            peer.suspected_until = now + SUSPICION_SECONDS
-            peer.asked_at = None
+            peer.is_suspected = True
 
-    def can_use(self, name: str, now: float) -> bool:
+    def can_use(self, name: str) -> bool:
         """Tell whether a peer is known and not suspected."""
         peer = self.listed.get(name)
-        return peer is not None and peer.suspected_until <= now
+        return peer is not None and not peer.is_suspected
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -204,7 +204,7 @@
     if call_state is None or call_state.peer != message.peer:
         return []
     call_state.peer = None
-    state.peers.suspect(message.peer, message.now)
+    state.peers.suspect(message.peer)
     held_elsewhere = call_state.call.key is not None and call_state.digest is None
     if held_elsewhere and not call_state.routed.route.idempotent:
         return _settle_holder_failure(message, call_state)
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -12,11 +12,12 @@
 from dotterelgate_core.servers import ServerTable
 
 if TYPE_CHECKING:
+    from dotterelgate_core.handovers import HandoverTable
     from dotterelgate_core.keys import KeyTable
     from dotterelgate_core.leases import LeaseTable
     from dotterelgate_core.peers import PeerTable
 
-__all__ = ["DaemonState", "Limits"]
+__all__ = ["DaemonState", "Limits", "LogPosition"]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,3 +51,19 @@
     waiting: WaitingTable = field(default_factory=WaitingTable)
     retries: BudgetTable = field(default_factory=BudgetTable)
     hedges: BudgetTable = field(default_factory=BudgetTable)
+    handovers: HandoverTable | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class LogPosition:
+    """How far this daemon has read the log, and what it appended last.
+
+    :param confirm_interval: seconds between confirmations of the configuration
+    """
+
+    confirm_interval: float
+    read_to: int | None = None
+    oldest: int = 0
+    confirmed_offset: int = -1
+    confirmed_at: float = float("-inf")
+    asked_at: float = float("-inf")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -12,27 +12,25 @@
 import structlog
 from circuits import Component, handler
 
-from dotterelgate_core.control import (
-    CONFIGURATION_RESOURCE,
-    LogPosition,
-    make_control_pipeline,
-)
+from dotterelgate_core.control import CONFIGURATION_RESOURCE, make_control_pipeline
 from dotterelgate_core.engine import make_request_pipeline
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.peers import PeerTable
-from dotterelgate_core.state import DaemonState, Limits
+from dotterelgate_core.state import DaemonState, Limits, LogPosition
 from dotterelgate_daemon.callers import CallerGate
 from dotterelgate_daemon.endpoint import Endpoint, serve_endpoint
 from dotterelgate_daemon.exchanges import PoolTable
 from dotterelgate_daemon.explanation import describe_daemon, explain_route
 from dotterelgate_daemon.following import Follower
 from dotterelgate_daemon.gateway import Gateway
+from dotterelgate_daemon.handing import KeyHanding
 from dotterelgate_daemon.journal import make_decision_writer
 from dotterelgate_daemon.links import LinkService
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.peering import Peering
 from dotterelgate_daemon.platform import LogClient, PlatformClient, VmListClient
+from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.streams import StreamService, make_poller
 from dotterelgate_daemon.timers import PauseWatch, TimerService
 
@@ -81,13 +79,13 @@
     def __init__(self, *, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        self._begin_stop = lambda: self.stop()
+        self._stop = GracefulStop(parts=parts, finish=self.stop)
 
     @handler("signal", channel="*")
     def _on_signal(self, event, signo: int, _frame: object) -> None:  # type: ignore[no-untyped-def]
         if signo in (signal.SIGTERM, signal.SIGINT):
             event.stop()
-            self._begin_stop()
+            self._stop.begin()
 
 
 def build_daemon(settings: DaemonSettings) -> Daemon:
@@ -190,9 +188,13 @@
         links=links,
         metrics=metrics,
         free=gateway.run,
+        choose=random.choice,
         on_decision=write_decision,
     )
-    hearers.extend((peering.hear, follower.hear))
+    handing = KeyHanding(state=state, incarnation=incarnation, links=links, tell=follower.run)
+    follower.send_offer = handing.send_offer
+    follower.send_keys = handing.send_keys
+    hearers.extend((peering.hear, follower.hear, handing.hear))
     log, vms = _build_platform(settings, pools, timers, metrics, follower)
     follower.log = log
     gate.open(settings.callers)
@@ -240,6 +242,7 @@
 
     def lose_log(reason: str) -> None:
         logger.warning("following: the log cannot be read", reason=reason)
+        follower.ask_records()
 
     def lose_vms(reason: str) -> None:
         logger.warning("following: the list of VMs cannot be read", reason=reason)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -10,9 +10,8 @@
 from dotterelgate_core.routes import find_route
 
 if TYPE_CHECKING:
-    from dotterelgate_core.control import LogPosition
     from dotterelgate_core.servers import ServerState
-    from dotterelgate_core.state import DaemonState
+    from dotterelgate_core.state import DaemonState, LogPosition
 
 __all__ = ["describe_daemon", "explain_route"]
 
@@ -66,6 +65,6 @@
         "idempotent": route.idempotent,
         "priority": route.priority.name.lower(),
         "policy": service.policy,
-        "owner": find_owner(state, service.name, now),
+        "owner": find_owner(state, service.name),
         "servers": [_describe_server(each, now) for each in pool],
     }
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
@@ -3,22 +3,29 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from pydantic import ValidationError
 
 from dotterelgate_border.declarations import ConfigurationModel, build_configuration
-from dotterelgate_border.handover import ConfigurationOffer, LeavingNotice
+from dotterelgate_border.handover import (
+    ConfigurationOffer,
+    LeavingNotice,
+    Ping,
+    RecordsAsked,
+    RecordsTold,
+)
 from dotterelgate_border.records import (
     Confirmation,
     GrantModel,
     Grants,
     LeavingSign,
+    LogPage,
     Publication,
     record_adapter,
 )
-from dotterelgate_core import control
+from dotterelgate_core import control_messages as control
 from dotterelgate_core.chain import Link
 from dotterelgate_core.leases import Grant
 from dotterelgate_core.messages import Decision, SlotFreed
@@ -28,9 +35,8 @@
 
     from dotterelgate_border.handover import PeerMessage
     from dotterelgate_border.records import Record, VmList
-    from dotterelgate_core.control import LogPosition
     from dotterelgate_core.pipes import Filter, Message
-    from dotterelgate_core.state import DaemonState
+    from dotterelgate_core.state import DaemonState, LogPosition
     from dotterelgate_daemon.links import LinkService
     from dotterelgate_daemon.metrics import Metrics
     from dotterelgate_daemon.platform import LogClient
@@ -44,6 +50,7 @@
     """Feeds the control pipeline and carries out its orders.
 
     :param decide: the control pipeline
+    :param choose: chooses the peer to ask
     :param free: called when a service may have room for waiting requests
     """
 
@@ -57,20 +64,25 @@
         links: LinkService,
         metrics: Metrics,
         free: Callable[[SlotFreed], None],
+        choose: Callable[[list[str]], str],
         on_decision: Callable[[Decision], None],
     ) -> None:
         self.log: LogClient | None = None
         self.documents: dict[str, ConfigurationModel] = {}
-        self.on_grant: Callable[[], None] = lambda: None
+        self.send_offer: Callable[[control.SendOffer], None] = lambda order: None
+        self.send_keys: Callable[[control.SendKeys], None] = lambda order: None
         self._state = state
         self._position = position
-        self._incarnation = incarnation
+        self._sign: dict[str, Any] = {"sender": state.name, "incarnation": incarnation}
         self._decide = decide
+        self._choose = choose
         self._links = links
         self._metrics = metrics
         self._sinks: dict[type, Callable[[Message], None]] = {
             control.AppendClaims: self._append_claims,
             control.AppendConfirmation: self._append_confirmation,
+            control.SendOffer: lambda order: self.send_offer(order),
+            control.SendKeys: lambda order: self.send_keys(order),
             control.ConfigurationChanged: self._change_configuration,
             SlotFreed: free,
             Decision: on_decision,
@@ -100,7 +112,6 @@
     def take_position(self, read_to: int, oldest: int) -> None:
         """Note that every retained record below an offset is read."""
         self.run(control.LogRead(now=time.monotonic(), read_to=read_to, oldest=oldest))
-        self.on_grant()
 
     def take_vms(self, listed: VmList) -> None:
         """Take the platform's list of VMs."""
@@ -116,7 +127,9 @@
         )
         self.run(control.VmsRead(now=time.monotonic(), vms=vms))
         for peer in self._state.peers.listed.values():
-            self._links.connect_peer(peer.name, peer.address)
+            if self._links.connect_peer(peer.name, peer.address):
+                # The first message tells the peer which run of this daemon it meets.
+                self._links.send(peer.name, Ping(**self._sign))
         for name in self._state.peers.gone:
             self._links.disconnect_peer(name)
         self.ask_peers()
@@ -125,10 +138,17 @@
         """Ask peers for the configuration while this daemon has none."""
         if self._state.configuration.current is not None:
             return
-        question = ConfigurationOffer(sender=self._state.name, incarnation=self._incarnation)
+        question = ConfigurationOffer(**self._sign)
         for name in self._state.peers.listed:
             self._links.send(name, question)
 
+    def ask_records(self) -> None:
+        """Ask one peer for records, because the log cannot be read."""
+        usable = [each for each in self._state.peers.select_usable() if each != self._state.name]
+        if usable and self.log is not None:
+            question = RecordsAsked(**self._sign, start=self.log.next)
+            self._links.send(self._choose(usable), question)
+
     def hear(self, message: PeerMessage) -> bool:
         """Take a peer's message that is about control.
 
@@ -136,6 +156,10 @@
         """
         if isinstance(message, ConfigurationOffer):
             self._hear_offer(message)
+        elif isinstance(message, RecordsAsked):
+            self._tell_records(message)
+        elif isinstance(message, RecordsTold):
+            self._hear_records(message)
         elif isinstance(message, LeavingNotice):
             self._hear_leaving(message)
         else:
@@ -149,9 +173,7 @@
 
     def tell_leaving(self, server: str) -> None:
         """Share a sign that a backend server is leaving, by peers and by the log."""
-        notice = LeavingNotice(
-            sender=self._state.name, incarnation=self._incarnation, server=server
-        )
+        notice = LeavingNotice(**self._sign, server=server)
         for name in self._state.peers.listed:
             self._links.send(name, notice)
         sign = LeavingSign(server=server, writer=self._state.name)
@@ -159,16 +181,10 @@
 
     def tell_stopping(self) -> None:
         """Tell the peers that this daemon takes no new work."""
-        notice = LeavingNotice(sender=self._state.name, incarnation=self._incarnation)
+        notice = LeavingNotice(**self._sign)
         for name in self._state.peers.listed:
             self._links.send(name, notice)
 
-    def append_grants(self, grants: list[GrantModel]) -> None:
-        """Append grants in one record."""
-        assert self._position.read_to is not None
-        record = Grants(read_to=self._position.read_to, oldest=self._position.oldest, grants=grants)
-        self._append(record.model_dump())
-
     def _read_record(self, offset: int, record: Record) -> list[Message]:
         now = time.monotonic()
         if isinstance(record, Publication):
@@ -184,6 +200,23 @@
             ]
         return [control.LeavingHeard(now=now, server=record.server, source=record.writer)]
 
+    def _tell_records(self, message: RecordsAsked) -> None:
+        assert self.log is not None
+        page = self.log.build_page(message.start)
+        if page is None or (message.start is not None and page.next <= message.start):
+            return
+        told = RecordsTold(**self._sign, page=page.model_dump_json().encode("utf-8"))
+        self._links.send(message.sender, told)
+
+    def _hear_records(self, message: RecordsTold) -> None:
+        assert self.log is not None
+        try:
+            page = LogPage.model_validate_json(message.page)
+        except ValidationError:
+            logger.warning("following: a peer's records are not valid", peer=message.sender)
+            return
+        self.log.take_from_peer(page)
+
     def _hear_offer(self, message: ConfigurationOffer) -> None:
         if message.id:
             model = ConfigurationModel.model_validate_json(message.document)
@@ -198,8 +231,7 @@
         if current is None:
             return
         offer = ConfigurationOffer(
-            sender=self._state.name,
-            incarnation=self._incarnation,
+            **self._sign,
             id=current.id,
             revision=current.revision,
             document=self.documents[current.id].model_dump_json().encode("utf-8"),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/links.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/links.py
@@ -69,11 +69,14 @@
         self._poller = poller
         poller.addReader(self, self._inbox.recv_fd)
 
-    def connect_peer(self, name: str, address: str) -> None:
-        """Connect to a peer, or again if its address changed."""
+    def connect_peer(self, name: str, address: str) -> bool:
+        """Connect to a peer, or again if its address changed.
+
+        :returns: whether a connection was begun
+        """
         link = self._links.get(name)
         if link is not None and link.address == address:
-            return
+            return False
         if link is not None:
             link.socket.close()
         socket = pynng.Push0(
@@ -83,6 +86,7 @@
         )
         socket.dial(f"tcp://{address}", block=False)
         self._links[name] = _Link(address=address, socket=socket)
+        return True
 
     def disconnect_peer(self, name: str) -> None:
         """Close the link to a peer that is gone."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from dotterelgate_border.handover import PeerMessage
     from dotterelgate_core.messages import Forward
-    from dotterelgate_core.peers import PeerTable
+    from dotterelgate_core.peers import Peer, PeerTable
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.links import LinkService
 
@@ -96,7 +96,7 @@
 
         :returns: whether it was one
         """
-        self._peers.hear(message.sender, time.monotonic())
+        self._peers.hear(message.sender, message.incarnation, time.monotonic())
         if isinstance(message, HandedCall):
             self._take_call(message)
         elif isinstance(message, AnswerPart):
@@ -116,25 +116,35 @@
         gap, self._ticked_at = now - self._ticked_at, now
         self._links.flush()
         for peer in list(self._peers.listed.values()):
-            if gap > TICK_GAP_SECONDS:
+            if gap > TICK_GAP_SECONDS and not peer.is_suspected:
                 # This process was paused, so the silence is its own.
                 peer.heard_at = now
                 peer.asked_at = None
+            elif peer.is_suspected:
+                self._ask_again(peer, now)
             elif not peer.waiting:
                 peer.asked_at = None
             elif peer.asked_at is not None:
                 if now - peer.asked_at > SILENT_AFTER_SECONDS:
                     self._give_up(peer.name)
             elif now - peer.heard_at > PING_AFTER_SECONDS:
-                peer.asked_at = now
-                ping = Ping(sender=self._name, incarnation=self._incarnation)
-                self._links.send(peer.name, ping)
+                self._ask(peer, now)
+
+    def _ask(self, peer: Peer, now: float) -> None:
+        peer.asked_at = now
+        if not self._links.is_full(peer.name):
+            ping = Ping(sender=self._name, incarnation=self._incarnation)
+            self._links.send(peer.name, ping)
+
+    def _ask_again(self, peer: Peer, now: float) -> None:
+        if peer.asked_at is None or now - peer.asked_at > SILENT_AFTER_SECONDS:
+            self._ask(peer, now)
 
     def _give_up(self, peer_name: str) -> None:
         peer = self._peers.listed[peer_name]
         unsent = self._links.take_back(peer_name)
         waiting, peer.waiting = peer.waiting, set()
-        self._peers.suspect(peer_name, time.monotonic())
+        self._peers.suspect(peer_name)
         for call_id in waiting:
             self._gateway.fail_peer(call_id, peer_name, sent=call_id not in unsent)
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -4,10 +4,11 @@
 
 import json
 import time
+from collections import deque
 from typing import TYPE_CHECKING
 
 from dotterelgate_border.checking import InvalidDocumentError, check_document
-from dotterelgate_border.records import LogPage, VmList
+from dotterelgate_border.records import LogEntry, LogPage, VmList
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
 from dotterelgate_daemon.codec import encode_request_head
@@ -25,6 +26,7 @@
 
 CONNECTIONS = 4
 PAGE_RECORDS = 500
+TAIL_RECORDS = 1000
 
 
 class PlatformClient:
@@ -129,8 +131,15 @@
         self._lost = lost
         self._next: int | None = None
         self._is_reading = False
+        self._tail: deque[LogEntry] = deque(maxlen=TAIL_RECORDS)
+        self._oldest = 0
         self.reached_at = float("-inf")
 
+    @property
+    def next(self) -> int | None:
+        """First offset that is not read yet, ``None`` before the first read."""
+        return self._next
+
     def poll(self) -> None:
         """Read what is new, unless a read is on its way."""
         if self._is_reading:
@@ -163,15 +172,42 @@
             self._lost(str(error))
             return
         self.reached_at = time.monotonic()
+        self._read_page(page)
+        if len(page.entries) < PAGE_RECORDS:
+            self._read(page.next, page.oldest)
+        else:
+            self.poll()
+
+    def build_page(self, start: int | None) -> LogPage | None:
+        """Build a page of the last records read, for a peer.
+
+        :returns: ``None`` when they do not reach back to ``start``
+        """
+        if self._next is None:
+            return None
+        first = self._tail[0].offset if self._tail else self._next
+        if start is not None and start < first:
+            return None
+        entries = [entry for entry in self._tail if start is None or entry.offset >= start]
+        return LogPage(entries=entries, next=self._next, oldest=min(first, self._next))
+
+    def take_from_peer(self, page: LogPage) -> None:
+        """Take records that a peer read, if they follow those read here."""
+        first = page.entries[0].offset if page.entries else page.next
+        if self._next is not None and first != self._next:
+            return
+        self._read_page(page)
+        self._read(page.next, max(page.oldest, self._oldest))
+
+    def _read_page(self, page: LogPage) -> None:
         if self._next is None or page.oldest > self._next:
             self._begin(page.oldest)
+            self._tail.clear()
         for entry in page.entries:
             self._take(entry.offset, entry.record)
+            self._tail.append(entry)
         self._next = page.next
-        if len(page.entries) < PAGE_RECORDS:
-            self._read(page.next, page.oldest)
-        else:
-            self.poll()
+        self._oldest = page.oldest
 
     def _fail(self, reason: str) -> None:
         self._is_reading = False
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/replies.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/replies.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+# Needed at run time, since kept answers are decoded by their annotations.
+from dotterelgate_daemon.codec import HeaderList
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from dotterelgate_core.codes import Refusal
-    from dotterelgate_daemon.codec import HeaderList
 
 __all__ = ["SILENT_REPLY", "AnswerStart", "KeptAnswer", "Reply"]
 
