Prove that a configuration never reverts; mend the rule that settles the log's order

Also: a frozen republisher let the configuration age out of the log, and a daemon that fell behind the retention kept its old revision.

Ruled out: repairing the shortcut "the named record is retained, so all that followed it was seen". A copy breaks it whatever is replayed; it is dropped.

Change: only a record whose writer had read to where the reader began settles what is accepted; a doubt is a new start; any daemon confirms the configuration when the log is about to lose it, in order of rank; a daemon that the log does not tell what is in force asks its peers.

--- a/features/steps/chain_steps.py
+++ b/features/steps/chain_steps.py
@@ -6,7 +6,7 @@
 from subjects.chain import ChainHistory
 
 FIRST_SEED = 7000
-STEPS = 40
+LONG_STEPS = 60
 
 
 @given("{count:d} random histories of claims with short retention")
@@ -14,6 +14,12 @@
     context.histories = [ChainHistory(seed=FIRST_SEED + each) for each in range(count)]
 
 
+@given("the histories of seeds {listed}")
+def make_listed(context, listed):
+    seeds = [int(each) for each in listed.replace(" and", ",").split(",")]
+    context.histories = [ChainHistory(seed=seed, steps=LONG_STEPS) for seed in seeds]
+
+
 @given("{count:d} random histories with claims from readers that only guess")
 def make_guessing(context, count):
     context.histories = [
@@ -24,7 +30,7 @@
 @when("every reader has read what the log retains")
 def run_histories(context):
     for history in context.histories:
-        history.run(STEPS)
+        history.run()
 
 
 @then("every reader that knows the accepted record names the true one")
--- a/features/subjects/chain.py
+++ b/features/subjects/chain.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dotterelgate_core.chain import Chain, Link
 
@@ -38,18 +38,19 @@
 
     seed: int
     strict: bool = True
+    steps: int = 40
     log: list[Link] = field(default_factory=list)
     disagreements: list[str] = field(default_factory=list)
     accepted: int = 0
 
-    def run(self, steps: int) -> None:
+    def run(self) -> None:
         """Run the history and compare every reader with one that read everything."""
         rng = random.Random(self.seed)
         witness = Reader(chain=Chain(), read_to=0)
         witness.chain.begin(start=0)
         readers = [self._make_reader() for _ in range(3)]
         retention = rng.choice((3, 5, 8, 1000))
-        for _ in range(steps):
+        for _ in range(self.steps):
             oldest = max(0, len(self.log) - retention)
             self._step(rng, readers, oldest)
             witness.read(self.log, 0)
@@ -69,8 +70,12 @@
         reader = readers[chosen]
         if action < 0.4:
             reader.read(self.log, oldest)
-        elif action < 0.9:
+        elif action < 0.85:
             self._claim(reader)
+        elif action < 0.9 and self.log:
+            # A writer whose answer was lost appends its record once more.
+            again = rng.choice(self.log[-6:])
+            self.log.append(replace(again, offset=len(self.log)))
         else:
             fresh = Reader(chain=Chain(), read_to=oldest, oldest=oldest)
             fresh.chain.begin(start=oldest)
--- a/packages/dotterelgate-core/src/dotterelgate_core/chain.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/chain.py
@@ -34,20 +34,24 @@
 
     The first record in log order that names the accepted one as its previous
     is accepted; all others are ignored. A reader that starts in the middle of
-    the log cannot judge the first records it meets. It keeps them until one
-    record proves what was accepted: a writer only names a record that it knows
-    to be accepted.
+    the log cannot judge the first records it meets. It keeps them until it meets
+    a record whose writer had read at least to where this reader began: that
+    writer knew what was accepted there, and all that came after was read here.
+    A record may stand on the log more than once, when its writer's answer was
+    lost; seeing the record that another one names therefore proves nothing.
 
     :param start: first offset that this reader has read
     :param known: whether the accepted record is known
     :param current: the accepted record, if there is one
     :param unjudged: records read while nothing was known, by id
+    :param is_first_copy: whether ``current.offset`` is where it was accepted
     """
 
     start: int = 0
     known: bool = False
     current: Link | None = None
     unjudged: dict[str, Link] = field(default_factory=dict)
+    is_first_copy: bool = True
 
     def begin(self, *, start: int) -> None:
         """Begin reading at ``start``; at offset 0 nothing can have been missed."""
@@ -62,15 +66,10 @@
         :returns: whether it was accepted
         """
         if self.known:
-            return self._judge(link)
+            return self._take(link)
         if link.read_to >= self.start and not self._is_doubtful(link):
             self._settle(link.previous, since=link.read_to)
-            return self._judge(link)
-        if link.previous in self.unjudged:
-            self._settle(link.previous, since=self.unjudged[link.previous].offset + 1)
-            return self._judge(link)
-        self.unjudged.setdefault(link.id, link)
-        return False
+        return self._take(link)
 
     def confirm(self, link: Link) -> None:
         """Take a statement that ``link`` was accepted as of its ``read_to``."""
@@ -80,29 +79,30 @@
 
     def expire(self, *, oldest: int) -> None:
         """Forget unjudged records that the log no longer retains."""
+        if self.known or oldest <= self.start:
+            return
+        # Without them nothing from before can be judged, as after a new start.
+        self.start = oldest
         gone = [key for key, link in self.unjudged.items() if link.offset < oldest]
         for key in gone:
             del self.unjudged[key]
 
     def _is_doubtful(self, link: Link) -> bool:
         # A writer that names no previous record has seen none, yet a reader
-        # with a longer memory may know one that an unjudged record follows.
+        # with a longer memory may know one, by which it judges what came between.
         if link.previous is not None:
             return False
-        return any(
-            other.previous is not None
-            for other in self.unjudged.values()
-            if other.offset >= link.read_to
-        )
+        return any(other.offset >= link.read_to for other in self.unjudged.values())
 
     def _settle(self, accepted_id: str | None, *, since: int, accepted: Link | None = None) -> None:
         waiting = sorted(self.unjudged.values(), key=lambda link: link.offset)
         self.current = accepted or self._find(accepted_id)
+        self.is_first_copy = False
         self.known = True
         self.unjudged = {}
         for link in waiting:
             if link.offset >= since:
-                self._judge(link)
+                self._take(link)
 
     def _find(self, accepted_id: str | None) -> Link | None:
         if accepted_id is None:
@@ -118,15 +118,18 @@
             body=None,
         )
 
-    def _judge(self, link: Link) -> bool:
-        if self._is_unjudgeable(link):
+    def _take(self, link: Link) -> bool:
+        if self.known and self._is_unjudgeable(link):
+            # What was accepted is known up to here only, as after a new start.
+            self.begin(start=link.offset)
             self.known = False
-            self.current = None
-            self.unjudged = {link.id: link}
+        if not self.known:
+            self.unjudged.setdefault(link.id, link)
             return False
         if not self._follows(link):
             return False
         self.current = link
+        self.is_first_copy = True
         return True
 
     def _follows(self, link: Link) -> bool:
@@ -137,9 +140,9 @@
         return link.previous is None and self.current.offset < link.oldest
 
     def _is_unjudgeable(self, link: Link) -> bool:
-        # The accepted record lies before the start, so whether it was still
-        # retained when the writer looked cannot be told.
+        # Whether the accepted record was still retained when the writer looked
+        # cannot be told without the place where it was accepted.
         current = self.current
-        if current is None or current.offset >= self.start or link.previous is not None:
+        if current is None or self.is_first_copy or link.previous is not None:
             return False
-        return 0 < link.oldest < self.start
+        return 0 < link.oldest <= current.offset
--- a/packages/dotterelgate-core/src/dotterelgate_core/control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control.py
@@ -21,7 +21,7 @@
 from dotterelgate_core.handovers import make_handover_filter
 from dotterelgate_core.leases import Moment
 from dotterelgate_core.messages import Decision, SlotFreed
-from dotterelgate_core.peers import Peer
+from dotterelgate_core.peers import Peer, rank_by_rendezvous
 from dotterelgate_core.pipes import connect
 
 if TYPE_CHECKING:
@@ -34,6 +34,7 @@
 __all__ = ["CONFIGURATION_RESOURCE", "make_control_pipeline"]
 
 CONFIGURATION_RESOURCE = "configuration"
+CONFIRM_PATIENCE_SECONDS = 0.5
 
 
 def make_control_pipeline(
@@ -223,8 +224,19 @@
         return False
     if chain.current.id != current.id or now - position.asked_at < 1.0:
         return False
+    is_missing = position.confirmed_offset < position.oldest
+    if not is_missing:
+        position.missing_since = None
+    elif position.missing_since is None:
+        position.missing_since = now
     if not state.leases.holds(CONFIGURATION_RESOURCE, now, ticked.wall):
-        return False
-    if position.confirmed_offset < position.oldest:
-        return True
-    return now - max(position.confirmed_at, position.asked_at) >= position.confirm_interval
+        # Its holder may be frozen; a confirmation too many does no harm.
+        waited = 0.0 if position.missing_since is None else now - position.missing_since
+        return waited > _find_patience(state)
+    return is_missing or now - position.confirmed_at >= position.confirm_interval
+
+
+def _find_patience(state: DaemonState) -> float:
+    names = [*state.peers.listed, state.name]
+    rank = rank_by_rendezvous(CONFIGURATION_RESOURCE, names).index(state.name)
+    return CONFIRM_PATIENCE_SECONDS * (1 + rank)
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -59,6 +59,7 @@
     """How far this daemon has read the log, and what it appended last.
 
     :param confirm_interval: seconds between confirmations of the configuration
+    :param missing_since: monotonic second since which the log no longer retains it
     """
 
     confirm_interval: float
@@ -67,3 +68,4 @@
     confirmed_offset: int = -1
     confirmed_at: float = float("-inf")
     asked_at: float = float("-inf")
+    missing_since: float | None = None
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
@@ -98,6 +98,7 @@
     def begin(self, start: int) -> None:
         """Note that reading the log begins at an offset."""
         self.run(control.ReadingBegan(now=time.monotonic(), start=start))
+        self.ask_peers()
 
     def take_record(self, offset: int, document: dict) -> None:
         """Take one record of the log; others than the project's are passed over."""
@@ -135,8 +136,9 @@
         self.ask_peers()
 
     def ask_peers(self) -> None:
-        """Ask peers for the configuration while this daemon has none."""
-        if self._state.configuration.current is not None:
+        """Ask peers for the configuration while the log does not tell it."""
+        configuration = self._state.configuration
+        if configuration.current is not None and configuration.chain.known:
             return
         question = ConfigurationOffer(**self._sign)
         for name in self._state.peers.listed:
