Keep leaving backend servers free of new work and measuring within its budget

Cause: a daemon that learned from an answer that a backend server was leaving told nobody, a sign could never be taken back, and nothing probed at all.

Ruled out: a budget divided by the number of daemons.

Change: signs that a server leaves or works again carry the time at which they were seen, and go to peers and to the log; only a probe takes one back. The holder of a service's measuring lease probes what is doubtful or idle. Each probe must start within 0.25 s, and its cost is charged over 1.5 s, the longest time from which starts can fall into one second; a new holder waits as long.

A sign seen by one daemon alone with peers and the log both cut off cannot reach the others; it stands on the list of what is not proved.

--- a/features/subjects/system.py
+++ b/features/subjects/system.py
@@ -37,6 +37,7 @@
 
     fleet: Fleet = field(default_factory=Fleet)
     revision: int = 0
+    options: dict = field(default_factory=dict)
     answers: list[Answer] = field(default_factory=list)
     background: list[threading.Thread] = field(default_factory=list)
 
@@ -57,7 +58,7 @@
         chosen = {"key_ranges": KEY_RANGES, "lease_length": LEASE_SECONDS, **settings}
         self.fleet.start_daemon(f"entry-{number}", **chosen)
 
-    def build_configuration(self, *, draining=(), policy="owner_queue", tag="x"):
+    def build_configuration(self, *, draining=(), tag="x", **options):
         """Build the configuration of the test's one pool."""
         servers = [
             backend_server(
@@ -73,7 +74,7 @@
             service(
                 "bakery",
                 servers=servers,
-                policy=policy,
+                **{**self.options, **options},
                 routes=[
                     route("/stock", idempotent=True, timeout=5),
                     route("/orders", idempotent=False, timeout=5),
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
@@ -71,7 +71,7 @@
     ledger: list[dict] = field(default_factory=list)
     waiting: deque[Callable[[], None]] = field(default_factory=deque)
     busy: int = 0
-    probes: int = 0
+    probes: list[tuple[float, float]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._random = Random(self.seed)
@@ -93,8 +93,20 @@
             self._take(asked)
 
     def _probe(self, asked: Asked) -> None:
-        self.probes += 1
-        self._occupy(PROBE_SECONDS, lambda: asked.answer(200, b"", self._report()))
+        def start() -> None:
+            if self._is_too_late(asked, time.monotonic()):
+                asked.answer(503, b"", [*self._report(), NOT_RUN])
+                self._next()
+                return
+            seconds = PROBE_SECONDS + self._charge_connection(asked)
+            self.probes.append((time.time(), seconds))
+            self.timers.call_after(delay=seconds, call=finish)
+
+        def finish() -> None:
+            asked.answer(200, b"", self._report())
+            self._next()
+
+        self._enter(start)
 
     def _take(self, asked: Asked) -> None:
         if self.faults.shed:
@@ -117,11 +129,7 @@
             else:
                 self._run(asked)
 
-        if self.busy < self.slots:
-            self.busy += 1
-            start()
-        else:
-            self.waiting.append(start)
+        self._enter(start)
 
     def _is_too_late(self, asked: Asked, arrived: float) -> bool:
         fence = asked.find_header(b"request-not-after")
@@ -157,25 +165,22 @@
             seconds = self._random.expovariate(1000 / self.mean_ms)
         if time.monotonic() - self._started < self.cold_seconds:
             seconds *= 3
-        if id(asked.connection) not in self._served:
-            self._served.add(id(asked.connection))
-            seconds += CONNECTION_SECONDS
+        seconds += self._charge_connection(asked)
         return seconds * self.faults.slow
 
-    def _occupy(self, seconds: float, done: Callable[[], None]) -> None:
-        def start() -> None:
-            def finish() -> None:
-                done()
-                self._next()
-
-            self.timers.call_after(delay=seconds, call=finish)
-
+    def _enter(self, start: Callable[[], None]) -> None:
         if self.busy < self.slots:
             self.busy += 1
             start()
         else:
             self.waiting.append(start)
 
+    def _charge_connection(self, asked: Asked) -> float:
+        if id(asked.connection) in self._served:
+            return 0.0
+        self._served.add(id(asked.connection))
+        return CONNECTION_SECONDS
+
     def _next(self) -> None:
         self.busy -= 1
         if self.waiting:
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
@@ -23,6 +23,7 @@
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.messages import Call, Purpose, ServerReport
 from dotterelgate_core.peers import Peer, PeerTable
+from dotterelgate_core.probing import MEASURING_RESOURCES
 from dotterelgate_core.state import DaemonState, Limits, LogPosition
 
 if TYPE_CHECKING:
@@ -212,12 +213,11 @@
             keys=KeyTable(retention=key_retention, limit=100_000),
         )
         self.position = LogPosition(confirm_interval=60.0)
-        resources = [f"keys/{number}" for number in range(key_ranges)]
-        self._control = make_control_pipeline(
-            self.state, self.position, [*resources, CONFIGURATION_RESOURCE]
-        )
+        keys = [f"keys/{number}" for number in range(key_ranges)]
+        resources = [*keys, *MEASURING_RESOURCES, CONFIGURATION_RESOURCE]
+        self._control = make_control_pipeline(self.state, self.position, resources)
         self._decide = make_request_pipeline(self.state, random)
-        self._sinks: dict[type, Callable[[Any], None]] = {
+        self.sinks: dict[type, Callable[[Any], None]] = {
             messages.Dispatch: self._dispatch,
             messages.Forward: self._forward,
             messages.Cancel: self._cancel,
@@ -252,7 +252,7 @@
             body=configuration,
         )
         self.state.configuration.chain.begin(start=0)
-        self._run_control(PublicationRead(now=self.clock.now, link=link))
+        self.run_control(PublicationRead(now=self.clock.now, link=link))
 
     def receive(self, work: Callable[[], None]) -> None:
         """Do work, later if frozen and never if dead."""
@@ -292,7 +292,7 @@
         """Read the log and let leases become due."""
         if not self.log.is_down:
             self._read_log()
-        self._run_control(ControlTicked(now=self.clock.now, wall=self.wall()))
+        self.run_control(ControlTicked(now=self.clock.now, wall=self.wall()))
 
     def _tick(self) -> None:
         for name, peer in self.peers.items():
@@ -303,7 +303,7 @@
     def _read_log(self) -> None:
         oldest = self.log.oldest
         if self._read_to is None or oldest > self._read_to:
-            self._run_control(ReadingBegan(now=self.clock.now, start=oldest))
+            self.run_control(ReadingBegan(now=self.clock.now, start=oldest))
             self._read_to = oldest
         for offset in range(self._read_to, len(self.log.records)):
             for claim, read_to, seen_oldest in self.log.records[offset]:
@@ -315,22 +315,23 @@
                     oldest=seen_oldest,
                     body=claim.grant,
                 )
-                self._run_control(GrantRead(now=self.clock.now, link=link))
+                self.run_control(GrantRead(now=self.clock.now, link=link))
         self._read_to = len(self.log.records)
         read = LogRead(now=self.clock.now, read_to=self._read_to, oldest=oldest)
-        self._run_control(read)
+        self.run_control(read)
 
     def _run(self, message: Any) -> None:
         self.decisions += 1
         self._carry_out(self._decide(message))
 
-    def _run_control(self, message: Any) -> None:
+    def run_control(self, message: Any) -> None:
+        """Run a message through the control pipeline."""
         self._carry_out(self._control(message))
 
     def _carry_out(self, orders: Any) -> None:
         def act() -> None:
             for order in orders:
-                sink = self._sinks.get(type(order))
+                sink = self.sinks.get(type(order))
                 if sink is not None:
                     sink(order)
 
@@ -362,6 +363,7 @@
                     name,
                     lambda: messages.Answered(
                         now=self.clock.now,
+                        wall=self.wall(),
                         call_id=order.call_id,
                         server=name,
                         status=200,
--- a/packages/dotterelgate-border/src/dotterelgate_border/handover.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/handover.py
@@ -100,9 +100,15 @@
 
 
 class LeavingNotice(_Message, frozen=True):
-    """A sign that a backend server or the sending daemon is leaving."""
+    """A sign that a backend server is leaving or not, or that the sender stops.
+
+    :param server: name of the backend server; empty when the sender stops
+    :param wall: wall-clock second at which it was seen
+    """
 
     server: str = ""
+    is_leaving: bool = True
+    wall: float = 0.0
 
 
 class ConfigurationOffer(_Message, frozen=True):
--- a/packages/dotterelgate-border/src/dotterelgate_border/records.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/records.py
@@ -73,10 +73,12 @@
 
 
 class LeavingSign(Model):
-    """A sign that a backend server is leaving, shared with all daemons."""
+    """A sign that a backend server is leaving or not, shared with all daemons."""
 
     kind: Literal["leaving"] = "leaving"
     server: str
+    is_leaving: bool
+    wall: float
     writer: str
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control.py
@@ -23,6 +23,7 @@
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.peers import Peer, rank_by_rendezvous
 from dotterelgate_core.pipes import connect
+from dotterelgate_core.probing import make_probing_filter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -42,8 +43,8 @@
 ) -> Filter:
     """Make the pipeline of everything that is not about one call.
 
-    It writes ``AppendClaims``, ``SendKeys``, ``AppendConfirmation``, ``ConfigurationChanged``,
-    ``SlotFreed`` and ``Decision``.
+    It writes ``AppendClaims``, ``AppendConfirmation``, ``SendOffer``, ``SendKeys``,
+    ``Probe``, ``LeavingSeen``, ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
 
     :param resources: names of all leased resources
     """
@@ -54,6 +55,7 @@
         _make_leaving_filter(state),
         _make_vms_filter(state),
         make_handover_filter(state, position),
+        make_probing_filter(state),
         _make_claim_filter(state, position),
         _make_confirmation_filter(state, position),
     )
@@ -136,10 +138,12 @@
         if not isinstance(message, LeavingHeard):
             return (message,)
         server = state.servers.states.get(message.server)
-        if server is None or message.source in server.leaving:
+        if server is None:
             return ()
-        server.leaving.add(message.source)
-        sentence = f"{message.server} is leaving, says {message.source}; no new work for it"
+        if not server.note_sign(is_leaving=message.is_leaving, wall=message.wall):
+            return ()
+        word = "leaves; no new work for it" if message.is_leaving else "works again"
+        sentence = f"{message.server} {word}, says {message.source}"
         return (Decision(part="control", sentence=sentence, target=message.server),)
 
     return leave
@@ -178,9 +182,9 @@
         if vm.is_entry or server is None:
             continue
         if vm.state == "live":
-            server.leaving.discard("the platform")
-        elif "the platform" not in server.leaving:
-            server.leaving.add("the platform")
+            server.is_listed_leaving = False
+        elif not server.is_listed_leaving:
+            server.is_listed_leaving = True
             sentence = f"{vm.name} is {vm.state}, says the platform; no new work for it"
             messages.append(Decision(part="control", sentence=sentence, target=vm.name))
     return messages
--- a/packages/dotterelgate-core/src/dotterelgate_core/control_messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control_messages.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from dotterelgate_core.chain import Link
-    from dotterelgate_core.configuration import Configuration
+    from dotterelgate_core.configuration import BackendServer, Configuration
     from dotterelgate_core.leases import Claim
 
 __all__ = [
@@ -20,8 +20,11 @@
     "GrantRead",
     "KeysTaken",
     "LeavingHeard",
+    "LeavingSeen",
     "LogRead",
     "OfferTaken",
+    "Probe",
+    "ProbeAnswered",
     "PublicationRead",
     "ReadingBegan",
     "SendKeys",
@@ -83,11 +86,59 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LeavingHeard:
-    """A source says that a backend server is leaving."""
+    """A daemon says whether a backend server is leaving.
+
+    :param wall: wall-clock second at which that daemon saw it
+    """
 
     now: float
     server: str
     source: str
+    is_leaving: bool
+    wall: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingSeen:
+    """Order to tell all daemons whether a backend server is leaving.
+
+    :param wall: wall-clock second at which it was seen
+    """
+
+    server: str
+    is_leaving: bool
+    wall: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Probe:
+    """Order to measure a backend server.
+
+    :param fence: wall-clock second after which it must not start
+    :param cost: slot seconds charged for it
+    """
+
+    service: str
+    server: BackendServer
+    fence: float
+    cost: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeAnswered:
+    """A probe ended.
+
+    :param wall: wall-clock second at which it was sent
+    :param answered: whether the backend server answered
+    :param draining: whether it said that it is leaving
+    """
+
+    now: float
+    wall: float
+    service: str
+    server: str
+    answered: bool
+    draining: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -135,11 +135,13 @@
 class Answered:
     """A backend server's answer arrived whole.
 
+    :param wall: wall-clock second at which it arrived
     :param ran: ``False`` when the backend server said that it did not run it
     :param kept: the answer if small enough to be kept for a key, else ``None``
     """
 
     now: float
+    wall: float
     call_id: int
     server: str
     status: int
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -24,7 +24,9 @@
     :param reported: requests that it said it has, its queue included
     :param reported_at: monotonic second of that report
     :param service_time: smoothed seconds per request
-    :param leaving: names of the sources that say it is leaving
+    :param is_listed_leaving: whether the platform says that it is leaving
+    :param is_leaving_itself: whether it said so itself, to this daemon or another
+    :param sign_wall: wall-clock second of the newest such sign
     :param paused_until: monotonic second until which it gets no work
     :param failures: failures in a row
     :param ramp: requests allowed at once while it warms up, ``None`` when warm
@@ -36,7 +38,9 @@
     reported: int = 0
     reported_at: float = 0.0
     service_time: float = 0.0
-    leaving: set[str] = field(default_factory=set)
+    is_listed_leaving: bool = False
+    is_leaving_itself: bool = False
+    sign_wall: float = 0.0
     paused_until: float = 0.0
     failures: int = 0
     ramp: int | None = None
@@ -45,7 +49,30 @@
 
     def is_eligible(self, now: float) -> bool:
         """Tell whether it may get new work."""
-        return not (self.leaving or self.server.draining) and self.paused_until <= now
+        return not self.list_leaving_signs() and self.paused_until <= now
+
+    def list_leaving_signs(self) -> list[str]:
+        """List who says that it is leaving."""
+        signs = (
+            ("operator", self.server.draining),
+            ("platform", self.is_listed_leaving),
+            ("itself", self.is_leaving_itself),
+        )
+        return [source for source, says in signs if says]
+
+    def note_sign(self, *, is_leaving: bool, wall: float) -> bool:
+        """Take a sign that it is leaving, or works again, unless a newer one is known.
+
+        :returns: whether it changed what is known
+        """
+        if wall < self.sign_wall:
+            return False
+        self.sign_wall = wall
+        changed = self.is_leaving_itself != is_leaving
+        self.is_leaving_itself = is_leaving
+        if changed and not is_leaving:
+            self.ramp = 1
+        return changed
 
     def count_free(self) -> int:
         """Count the requests that it can take without queueing them."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.control_messages import LeavingSeen
 from dotterelgate_core.messages import (
     Answered,
     CallEnded,
@@ -54,8 +55,6 @@
     if call_state is None:
         return []
     if server is not None:
-        if message.report.draining:
-            server.leaving.add("server")
         if message.report.in_flight is not None:
             server.reported = message.report.in_flight
             server.reported_at = message.now
@@ -66,7 +65,14 @@
     if message.ran:
         seconds = message.now - call_state.sent_at
         queue.note_time(seconds, long=call_state.routed.route.long)
-    return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
+    freed = SlotFreed(now=message.now, service=call_state.routed.service.name)
+    if server is None or not message.report.draining or server.is_leaving_itself:
+        return [message, freed]
+    seen = LeavingSeen(server=message.server, is_leaving=True, wall=message.wall)
+    server.note_sign(is_leaving=True, wall=message.wall)
+    sentence = f"{message.server} leaves, says its answer; no new work for it"
+    decision = Decision(part="settling", sentence=sentence, target=message.server)
+    return [message, seen, decision, freed]
 
 
 def _observe_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -17,6 +17,7 @@
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.peers import PeerTable
+from dotterelgate_core.probing import MEASURING_RESOURCES
 from dotterelgate_core.state import DaemonState, Limits, LogPosition
 from dotterelgate_daemon.callers import CallerGate
 from dotterelgate_daemon.endpoint import Endpoint, serve_endpoint
@@ -27,6 +28,7 @@
 from dotterelgate_daemon.handing import KeyHanding
 from dotterelgate_daemon.journal import make_decision_writer
 from dotterelgate_daemon.links import LinkService
+from dotterelgate_daemon.measuring import Prober
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.peering import Peering
 from dotterelgate_daemon.platform import LogClient, PlatformClient, VmListClient
@@ -179,12 +181,13 @@
         peers=state.peers,
         clock_error=settings.clock_error,
     )
-    resources = [f"keys/{number}" for number in range(settings.key_ranges)]
+    keys = [f"keys/{number}" for number in range(settings.key_ranges)]
+    resources = [*keys, *MEASURING_RESOURCES, CONFIGURATION_RESOURCE]
     follower = Follower(
         state=state,
         position=position,
         incarnation=incarnation,
-        decide=make_control_pipeline(state, position, [*resources, CONFIGURATION_RESOURCE]),
+        decide=make_control_pipeline(state, position, resources),
         links=links,
         metrics=metrics,
         free=gateway.run,
@@ -192,6 +195,9 @@
         on_decision=write_decision,
     )
     handing = KeyHanding(state=state, incarnation=incarnation, links=links, tell=follower.run)
+    prober = Prober(pools=pools, timers=timers, metrics=metrics, tell=follower.run)
+    follower.probe = prober.probe
+    gateway.tell_leaving = follower.tell_leaving
     follower.send_offer = handing.send_offer
     follower.send_keys = handing.send_keys
     hearers.extend((peering.hear, follower.hear, handing.hear))
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -41,7 +41,7 @@
         "name": server.server.name,
         "in_flight": server.in_flight,
         "slots": server.server.slots,
-        "leaving": sorted(server.leaving) + (["operator"] if server.server.draining else []),
+        "leaving": server.list_leaving_signs(),
         "eligible": server.is_eligible(now),
         "failures": server.failures,
     }
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/following.py
@@ -70,6 +70,7 @@
         self.log: LogClient | None = None
         self.documents: dict[str, ConfigurationModel] = {}
         self.send_offer: Callable[[control.SendOffer], None] = lambda order: None
+        self.probe: Callable[[control.Probe], None] = lambda order: None
         self.send_keys: Callable[[control.SendKeys], None] = lambda order: None
         self._state = state
         self._position = position
@@ -82,6 +83,8 @@
             control.AppendClaims: self._append_claims,
             control.AppendConfirmation: self._append_confirmation,
             control.SendOffer: lambda order: self.send_offer(order),
+            control.LeavingSeen: self.tell_leaving,
+            control.Probe: lambda order: self.probe(order),
             control.SendKeys: lambda order: self.send_keys(order),
             control.ConfigurationChanged: self._change_configuration,
             SlotFreed: free,
@@ -173,12 +176,27 @@
         wall = time.time()
         self.run(control.ControlTicked(now=time.monotonic(), wall=wall))
 
-    def tell_leaving(self, server: str) -> None:
+    def tell_leaving(self, seen: control.LeavingSeen) -> None:
         """Share a sign that a backend server is leaving, by peers and by the log."""
-        notice = LeavingNotice(**self._sign, server=server)
+        heard = control.LeavingHeard(
+            now=time.monotonic(),
+            server=seen.server,
+            source=self._state.name,
+            is_leaving=seen.is_leaving,
+            wall=seen.wall,
+        )
+        self.run(heard)
+        notice = LeavingNotice(
+            **self._sign, server=seen.server, is_leaving=seen.is_leaving, wall=seen.wall
+        )
         for name in self._state.peers.listed:
             self._links.send(name, notice)
-        sign = LeavingSign(server=server, writer=self._state.name)
+        sign = LeavingSign(
+            server=seen.server,
+            is_leaving=seen.is_leaving,
+            wall=seen.wall,
+            writer=self._state.name,
+        )
         self._append(sign.model_dump())
 
     def tell_stopping(self) -> None:
@@ -200,7 +218,14 @@
                 control.GrantRead(now=now, link=_link_grant(offset, record, grant))
                 for grant in record.grants
             ]
-        return [control.LeavingHeard(now=now, server=record.server, source=record.writer)]
+        heard = control.LeavingHeard(
+            now=now,
+            server=record.server,
+            source=record.writer,
+            is_leaving=record.is_leaving,
+            wall=record.wall,
+        )
+        return [heard]
 
     def _tell_records(self, message: RecordsAsked) -> None:
         assert self.log is not None
@@ -243,7 +268,11 @@
     def _hear_leaving(self, message: LeavingNotice) -> None:
         if message.server:
             heard = control.LeavingHeard(
-                now=time.monotonic(), server=message.server, source=message.sender
+                now=time.monotonic(),
+                server=message.server,
+                source=message.sender,
+                is_leaving=message.is_leaving,
+                wall=message.wall,
             )
             self.run(heard)
             return
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -10,6 +10,7 @@
 
 from dotterelgate_core import codes, messages
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.control_messages import LeavingSeen
 from dotterelgate_daemon.codec import (
     encode_request_head,
     find_header,
@@ -28,7 +29,7 @@
     from dotterelgate_daemon.metrics import Metrics
     from dotterelgate_daemon.replies import Reply
 
-__all__ = ["Gateway", "PendingCall"]
+__all__ = ["Gateway", "PendingCall", "read_report"]
 
 logger = structlog.get_logger("gateway")
 
@@ -109,6 +110,7 @@
             None
         )
         self.withdraw: Callable[[int, str], None] = lambda call_id, peer: None
+        self.tell_leaving: Callable[[LeavingSeen], None] = lambda order: None
         self._decide = decide
         self._pools = pools
         self._metrics = metrics
@@ -126,6 +128,7 @@
             messages.CallRefused: self._refuse,
             messages.CallEnded: self._forget,
             messages.Decision: on_decision,
+            LeavingSeen: lambda order: self.tell_leaving(order),
         }
 
     def take_id(self) -> int:
@@ -219,7 +222,7 @@
 
     def _begin_answer(self, pending: PendingCall, head: AnswerHead, server: str) -> None:
         pending.status = head.status
-        pending.report = _read_report(head)
+        pending.report = read_report(head)
         pending.not_run = find_header(head.headers, b"request-outcome") == b"not-run"
         headers = select_end_to_end(head.headers, CONTROL_HEADERS)
         pending.start = AnswerStart(
@@ -256,6 +259,7 @@
             pending.whole = _keep(pending.start, pending.answer)
         message = messages.Answered(
             now=time.monotonic(),
+            wall=time.time(),
             call_id=pending.call.id,
             server=server,
             status=pending.status,
@@ -390,7 +394,8 @@
         return whole
 
 
-def _read_report(head: AnswerHead) -> messages.ServerReport:
+def read_report(head: AnswerHead) -> messages.ServerReport:
+    """Read what a backend server says of itself in an answer."""
     in_flight = find_header(head.headers, b"server-in-flight")
     return messages.ServerReport(
         in_flight=int(in_flight) if in_flight is not None and in_flight.isdigit() else None,
