--- a/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/model.py
@@ -32,6 +32,7 @@
 
     from dotterelgate_bench.clock import FakeClock
     from dotterelgate_core.configuration import Configuration
+    from dotterelgate_core.policies import Policy
 
     Reply = Callable[[Refusal | None, object | None], None]
 
@@ -168,6 +169,7 @@
     """The decision pipelines of one daemon on the fake clock.
 
     :param skew: seconds that its wall clock is ahead of the true time
+    :param policies: policies besides those of the product
     """
 
     def __init__(
@@ -185,6 +187,7 @@
         key_retention: float = 60.0,
         clock_error: float = 0.25,
         skew: float = 0.0,
+        policies: dict[str, Policy] | None = None,
     ) -> None:
         self.name = name
         self.incarnation = f"{name}.{run}"
@@ -216,7 +219,7 @@
         keys = [f"keys/{number}" for number in range(key_ranges)]
         resources = [*keys, *MEASURING_RESOURCES, CONFIGURATION_RESOURCE]
         self._control = make_control_pipeline(self.state, self.position, resources)
-        self._decide = make_request_pipeline(self.state, random)
+        self._decide = make_request_pipeline(self.state, random, policies)
         self.sinks: dict[type, Callable[[Any], None]] = {
             messages.Dispatch: self._dispatch,
             messages.Forward: self._forward,
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -18,15 +18,19 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from random import Random
 
     from dotterelgate_core.pipes import Filter
+    from dotterelgate_core.policies import Policy
     from dotterelgate_core.state import DaemonState
 
 __all__ = ["make_request_pipeline"]
 
 
-def make_request_pipeline(state: DaemonState, random: Random) -> Filter:
+def make_request_pipeline(
+    state: DaemonState, random: Random, further: Mapping[str, Policy] | None = None
+) -> Filter:
     """Make the pipeline from what happens to a call to the orders for it.
 
     It reads ``CallArrived``, ``CallerLeft``, ``Answered``, ``DispatchFailed``,
@@ -36,8 +40,9 @@
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
+    :param further: policies besides those that a configuration may name
     """
-    policies = make_policies(random)
+    policies = {**make_policies(random), **(further or {})}
     return connect(
         make_route_filter(state),
         make_observing_filter(state),
--- a/packages/dotterelgate-core/src/dotterelgate_core/policies.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/policies.py
@@ -15,6 +15,8 @@
 
 __all__ = ["POLICY_NAMES", "Policy", "make_policies"]
 
+SPEED_WEIGHT = 4
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Policy:
@@ -50,8 +52,12 @@
 
 
 def choose_fastest(states: Sequence[ServerState]) -> ServerState:
-    """Choose by requests in flight weighted with the recent service time."""
-    return min(states, key=lambda state: (state.in_flight + 1) * state.service_time)
+    """Choose by the recent service time, and a little by requests in flight."""
+    return min(states, key=_estimate_cost)
+
+
+def _estimate_cost(state: ServerState) -> float:
+    return (state.in_flight + SPEED_WEIGHT) * state.service_time
 
 
 def make_least(random: Random) -> Choose:
--- a/packages/dotterelgate-core/src/dotterelgate_core/queues.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/queues.py
@@ -14,6 +14,8 @@
 __all__ = ["ServiceQueue", "WaitingTable"]
 
 SMOOTHING = 0.05
+TYPICAL_SMOOTHING = 0.02
+STRAGGLER_FACTOR = 3.0
 
 
 def _make_lines() -> dict[Priority, deque[int]]:
@@ -29,6 +31,7 @@
     :param long_in_flight: long requests dispatched and not answered
     :param short_time: smoothed seconds of slot time per short request
     :param long_time: smoothed seconds of slot time per long request
+    :param typical_time: the same per request with stragglers cut
     """
 
     short: dict[Priority, deque[int]] = field(default_factory=_make_lines)
@@ -36,6 +39,7 @@
     long_in_flight: int = 0
     short_time: float = 0.0
     long_time: float = 0.0
+    typical_time: float = 0.0
 
     def add(self, state: CallState) -> None:
         """Put a call at the end of its line."""
@@ -64,6 +68,17 @@
         else:
             self.short_time = after
 
+    def cut_straggler(self, seconds: float) -> float:
+        """Cut a time to a multiple of the typical one, and learn the typical one.
+
+        One straggler says nothing of the speed of the backend server that ran it.
+        """
+        if not self.typical_time:
+            self.typical_time = seconds
+        cut = min(seconds, STRAGGLER_FACTOR * self.typical_time)
+        self.typical_time += TYPICAL_SMOOTHING * (cut - self.typical_time)
+        return cut
+
     def estimate_wait(self, priority: Priority, *, long: bool, slots: int) -> float:
         """Estimate the seconds until a request that comes now gets a slot."""
         ahead = self.count_ahead(priority, long=long)
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -13,7 +13,7 @@
 FAILURES_BEFORE_PAUSE = 2
 PAUSE_SECONDS = 1.0
 PAUSE_LIMIT_SECONDS = 8.0
-SMOOTHING = 0.2
+SMOOTHING = 0.3
 
 
 @dataclass(kw_only=True, slots=True)
@@ -80,7 +80,10 @@
         return limit - self.in_flight
 
     def note_success(self, now: float, seconds: float) -> None:
-        """Learn from a whole answer."""
+        """Learn from a whole answer.
+
+        :param seconds: time that it took, stragglers cut to a multiple of the usual
+        """
         self.failures = 0
         self.paused_until = 0.0
         self.used_at = now
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -58,13 +58,13 @@
         if message.report.in_flight is not None:
             server.reported = message.report.in_flight
             server.reported_at = message.now
-        if message.ran:
-            server.note_success(message.now, message.now - call_state.sent_at)
-    _free_slot(state, call_state, message.server)
+    seconds = message.now - call_state.sent_at
     queue = state.waiting.find(call_state.routed.service.name)
     if message.ran:
-        seconds = message.now - call_state.sent_at
         queue.note_time(seconds, long=call_state.routed.route.long)
+        if server is not None and not call_state.routed.route.long:
+            server.note_success(message.now, queue.cut_straggler(seconds))
+    _free_slot(state, call_state, message.server)
     freed = SlotFreed(now=message.now, service=call_state.routed.service.name)
     if server is None or not message.report.draining or server.is_leaving_itself:
         return [message, freed]
