--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,13 @@
 format: $(STAMP)
 	$(BIN)/ruff format packages features
 	$(BIN)/ruff check --fix packages features
+
+bench: $(STAMP)
+	$(BIN)/python -m dotterelgate_bench.policies
+	$(BIN)/python -m dotterelgate_bench.processes
+
+slopes: $(STAMP)
+	$(BIN)/python -m dotterelgate_bench.slopes
+
+docs: $(STAMP)
+	$(BIN)/sphinx-build -q -W -b html docs docs/_build
--- /dev/null
+++ b/features/command_line.feature
@@ -0,0 +1,36 @@
+Feature: The commands check what they read and say what is wrong
+
+  Scenario Outline: Settings with <mistake> are refused with one clear line
+    Given settings with <mistake>
+    When dotterelgated checks them
+    Then it exits with 2 and one line that names the file and <key>
+
+    Examples:
+      | mistake              | key          |
+      | a missing name       | name         |
+      | a host name          | callers      |
+      | a negative interval  | log_poll     |
+      | an unknown key       | colour       |
+      | a lease of a day     | lease_length |
+
+  Scenario: Valid settings are accepted
+    Given settings with nothing wrong
+    When dotterelgated checks them
+    Then it exits with 0
+
+  Scenario Outline: A configuration with <mistake> is refused
+    Given a configuration with <mistake>
+    When dotterelgate checks it
+    Then it exits with 2 and one line that names the file and <key>
+
+    Examples:
+      | mistake           | key    |
+      | no slots          | slots  |
+      | an unknown policy | policy |
+      | a name used twice | unique |
+      | text for JSON     | JSON   |
+
+  Scenario: The page of result codes says what the code says
+    Given the page docs/RESULT-CODES.md
+    Then every result code stands on it with its name, status, outcome and meaning
+    And numbers and names are unique
--- a/features/keyed_processes.feature
+++ b/features/keyed_processes.feature
@@ -49,3 +49,9 @@
     Given a system of 2 daemons and 1 backend servers
     When a key is used for one body and then for another
     Then the second is refused with key_conflict and outcome attempt-not-run
+
+  Scenario: A keyed write whose backend server never answers does not stay open for ever
+    Given a system of 1 daemons and 1 backend servers
+    When a keyed write with a limit of 300 ms goes to a backend server that takes a minute
+    Then the caller was told unknown with deadline_exceeded
+    And after 12 seconds nothing is in progress and a repeat is told unknown at once
--- a/features/steps/keyed_steps.py
+++ b/features/steps/keyed_steps.py
@@ -254,3 +254,21 @@
 def check_conflict(context, name, outcome):
     check_refusal(context.answer, name, outcome)
     assert len(context.system.list_ran()) == 1
+
+
+@when("a keyed write with a limit of {limit:d} ms goes to a backend server that takes a minute")
+def write_hanging(context, limit):
+    context.key = str(uuid.uuid4())
+    headers = {"Idempotency-Key": context.key, "Request-Timeout-Ms": str(limit)}
+    context.answer = context.system.ask(
+        "entry-1", "POST", "/orders/1?ms=60000", headers=headers, content=b"two loaves"
+    )
+
+
+@then("after {seconds:d} seconds nothing is in progress and a repeat is told unknown at once")
+def check_settled(context, seconds):
+    time.sleep(seconds)
+    assert context.system.fleet.read_status("entry-1")["in_flight"] == 0
+    answer = context.system.write("entry-1", context.key, path="/orders/1?ms=60000")
+    assert answer.outcome == "unknown", answer
+    assert answer.seconds < 1, answer
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
@@ -122,7 +122,9 @@
         self.list_vm(name, role="server")
         return process
 
-    def start_daemon(self, name: str, *, zone: str = "zone-1", **settings: Any) -> Process:
+    def start_daemon(
+        self, name: str, *, zone: str = "zone-1", log_level: str = "info", **settings: Any
+    ) -> Process:
         """Start a daemon; further settings override the defaults."""
         old = self.daemons.get(name)
         document = {
@@ -145,7 +147,7 @@
             address=document["callers"],
             endpoint=document["endpoint"],
             peers=document["peers"],
-            arguments=[str(binary), "--settings", str(path)],
+            arguments=[str(binary), "--settings", str(path), "--log-level", log_level],
             log_path=self.folder / f"{name}.log",
         )
         process.start()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -45,7 +45,7 @@
 logger = structlog.get_logger("assembly")
 
 CALL_ID_BITS = 40
-TICK_SECONDS = 0.02
+TICK_SECONDS = 0.05
 CONTROL_TICK_SECONDS = 0.1
 HOUSEKEEPING_SECONDS = 1.0
 REMEMBERED_BODY_BYTES = 16_384
@@ -156,6 +156,7 @@
         first_call_id=random.SystemRandom().getrandbits(CALL_ID_BITS) << 16,
         count_daemons=lambda: 1 + len(state.peers.listed),
         on_decision=write_decision,
+        call_after=timers.call_after,
     )
     metrics.in_flight.set_function(lambda: len(gateway.pending))
     gate = CallerGate(
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -88,6 +88,7 @@
 
     :param decide: the request pipeline
     :param keep_limit: bytes of an answer body that are held back until it is whole
+    :param call_after: calls a function after a delay
     :param remember_limit: bytes of an answer body that are kept for a key
     """
 
@@ -103,6 +104,7 @@
         first_call_id: int,
         count_daemons: Callable[[], int],
         on_decision: Callable[[messages.Decision], None],
+        call_after: Callable[..., None],
     ) -> None:
         self.name = name
         self.pending: dict[int, PendingCall] = {}
@@ -119,6 +121,7 @@
         self._next_id = first_call_id
         self._count_daemons = count_daemons
         self._on_decision = on_decision
+        self._call_after = call_after
         self._sinks: dict[type, Callable[[Message], None]] = {
             messages.Dispatch: self._dispatch,
             messages.Forward: self._forward,
@@ -205,6 +208,14 @@
         self._metrics.dispatches.labels(server=server.name).inc()
         pool = self._pools.find(server.address, limit=limit)
         pool.run(exchange, fresh=not order.idempotent)
+        if order.fence is not None:
+            self._limit(exchange, order)
+
+    def _limit(self, exchange: Exchange, order: Dispatch) -> None:
+        # A held call runs on after its caller was answered, but not for ever.
+        slow = Refusal(codes.DEADLINE_EXCEEDED, f"{order.server.name} did not answer in time")
+        delay = max(0.0, order.deadline - time.monotonic())
+        self._call_after(delay=delay, call=lambda: exchange.fail(slow))
 
     def _encode_head(self, pending: PendingCall, order: Dispatch) -> bytes:
         headers = select_end_to_end(pending.headers, CONTROL_HEADERS)
