--- a/packages/dotterelgate-border/src/dotterelgate_border/declarations.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/declarations.py
@@ -56,7 +56,6 @@
     long_share: float = Field(0.5, gt=0, le=1)
     queue_limit: float = Field(0.25, ge=0, le=60)
     retry_share: float = Field(0.1, ge=0, le=1)
-    hedge_share: float = Field(0.0, ge=0, le=1)
 
     @model_validator(mode="after")
     def _check_policy(self) -> ServiceModel:
@@ -98,7 +97,6 @@
         long_share=model.long_share,
         queue_limit=model.queue_limit,
         retry_share=model.retry_share,
-        hedge_share=model.hedge_share,
     )
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -38,7 +38,6 @@
     if refusal is not None:
         return [Settled(now=routed.now, call_id=routed.call.id, refusal=refusal, ran=False)]
     state.retries.find(routed.service.name, routed.service.retry_share).earn()
-    state.hedges.find(routed.service.name, routed.service.hedge_share).earn()
     queue.add(call_state)
     return [SlotFreed(now=routed.now, service=routed.service.name)]
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -19,7 +19,6 @@
     :param routed: the call with its route and time limit
     :param server: backend server that it was sent to
     :param sent_at: monotonic second of that dispatch
-    :param hedge: second backend server, while both work on it
     :param peer: peer that it was handed to
     :param attempts: dispatches so far
     :param avoided: backend servers that failed it
@@ -34,7 +33,6 @@
     routed: CallRouted
     server: str | None = None
     sent_at: float = 0.0
-    hedge: str | None = None
     peer: str | None = None
     attempts: int = 0
     avoided: set[str] = field(default_factory=set)
--- a/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
@@ -71,7 +71,6 @@
     :param long_share: share of slots that long work may take, 0 to 1
     :param queue_limit: longest expected wait for a slot in seconds
     :param retry_share: retries allowed per request, 0 to 1
-    :param hedge_share: hedged requests allowed per request, 0 to 1
     """
 
     name: str
@@ -83,7 +82,6 @@
     long_share: float = 0.5
     queue_limit: float = 0.25
     retry_share: float = 0.1
-    hedge_share: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/retries.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/retries.py
@@ -1,4 +1,4 @@
-"""Budgets that keep retries and hedges a small share of the requests."""
+"""Budgets that keep retries a small share of the requests."""
 
 from __future__ import annotations
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -22,7 +22,6 @@
 
     :param in_flight: requests that this daemon has at it
     :param reported: requests that it said it has, its queue included
-    :param reported_at: monotonic second of that report
     :param service_time: smoothed seconds per request
     :param is_listed_leaving: whether the platform says that it is leaving
     :param is_leaving_itself: whether it said so itself, to this daemon or another
@@ -36,7 +35,6 @@
     server: BackendServer
     in_flight: int = 0
     reported: int = 0
-    reported_at: float = 0.0
     service_time: float = 0.0
     is_listed_leaving: bool = False
     is_leaving_itself: bool = False
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -57,7 +57,6 @@
     if server is not None:
         if message.report.in_flight is not None:
             server.reported = message.report.in_flight
-            server.reported_at = message.now
     seconds = message.now - call_state.sent_at
     queue = state.waiting.find(call_state.routed.service.name)
     if message.ran:
@@ -121,20 +120,18 @@
 def _settle_answer(state: DaemonState, message: Answered) -> list[Message]:
     call_state = state.calls.states[message.call_id]
     if message.ran:
-        return [
-            Settled(
-                now=message.now,
-                call_id=message.call_id,
-                refusal=None,
-                ran=True,
-                kept=message.kept,
-            ),
-            Relay(call_id=message.call_id, source=message.server),
-        ]
+        return _pass_on(message.now, message.call_id, message.server, message.kept)
     refusal = Refusal(codes.SHED, f"{message.server} said that it did not run the request")
     return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
 
 
+def _pass_on(now: float, call_id: int, source: str, kept: object | None) -> list[Message]:
+    return [
+        Settled(now=now, call_id=call_id, refusal=None, ran=True, kept=kept),
+        Relay(call_id=call_id, source=source),
+    ]
+
+
 def _settle_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
     call_state = state.calls.states[message.call_id]
     if message.passed_on:
@@ -187,16 +184,7 @@
     call_state.peer = None
     refusal = message.refusal
     if refusal is None:
-        return [
-            Settled(
-                now=message.now,
-                call_id=message.call_id,
-                refusal=None,
-                ran=True,
-                kept=message.kept,
-            ),
-            Relay(call_id=message.call_id, source=message.peer),
-        ]
+        return _pass_on(message.now, message.call_id, message.peer, message.kept)
     if refusal.code is codes.NO_HOLDER and call_state.call.purpose is None:
         return [CallParked(now=message.now, call_id=message.call_id)]
     if refusal.code is codes.STOPPING:
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -50,7 +50,6 @@
     servers: ServerTable = field(default_factory=ServerTable)
     waiting: WaitingTable = field(default_factory=WaitingTable)
     retries: BudgetTable = field(default_factory=BudgetTable)
-    hedges: BudgetTable = field(default_factory=BudgetTable)
     handovers: HandoverTable | None = None
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import time
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -133,7 +132,6 @@
         self._is_reading = False
         self._tail: deque[LogEntry] = deque(maxlen=TAIL_RECORDS)
         self._oldest = 0
-        self.reached_at = float("-inf")
 
     @property
     def next(self) -> int | None:
@@ -171,7 +169,6 @@
         except InvalidDocumentError as error:
             self._lost(str(error))
             return
-        self.reached_at = time.monotonic()
         self._read_page(page)
         if len(page.entries) < PAGE_RECORDS:
             self._read(page.next, page.oldest)
--- a/packages/dotterelgate-operator/src/dotterelgate_operator/declaring.py
+++ b/packages/dotterelgate-operator/src/dotterelgate_operator/declaring.py
@@ -69,7 +69,7 @@
 
     :param name: unique within the configuration
     :param options: ``hosts``, ``policy``, ``measuring_share``, ``long_share``,
-        ``queue_limit`` (seconds), ``retry_share`` and ``hedge_share``; shares
+        ``queue_limit`` (seconds) and ``retry_share``; shares
         are from 0 to 1
     :raises pydantic.ValidationError: when a value is out of bounds
     """
