Rank and digest only where it is needed on control ticks

Cause: read once more, the change ranked all daemons for every leased resource on each control tick, held here or not, and digested each service's name twice.

Ruled out: keeping ranks until the list of daemons changes; it is the larger mend that CAPACITY.md names, and wants its own measurement.

Change: what is not held is passed over before ranking; the measuring resource is found once; a test's copy of a whole list is gone. Behaviour is the same.

Conclusion: less work on each tick.

--- a/features/subjects/publications.py
+++ b/features/subjects/publications.py
@@ -157,7 +157,7 @@
         full = ConfigurationReader(is_naive=False)
         full.restart(0)
         accepted = set()
-        for entry in self._log[: len(self._log)]:
+        for entry in self._log:
             if not entry.is_confirmation:
                 full.state.read_publication(entry.link)
             if full.state.current is not None:
--- a/packages/dotterelgate-core/src/dotterelgate_core/handovers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/handovers.py
@@ -120,9 +120,11 @@
     for resource in state.leases.leases:
         if len(table.offers) >= OFFERS_AT_ONCE:
             break
-        successor = rank_by_rendezvous(resource, usable)[0]
         is_held = state.leases.holds(resource, tick.now, tick.wall)
-        if resource in table.offers or not is_held or successor == state.name:
+        if resource in table.offers or not is_held:
+            continue
+        successor = rank_by_rendezvous(resource, usable)[0]
+        if successor == state.name:
             continue
         open_range(state, resource, now=tick.now, wall=tick.wall)
         offer = Offer(id=state.leases.take_id(), successor=successor, began_at=tick.now)
--- a/packages/dotterelgate-core/src/dotterelgate_core/probing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/probing.py
@@ -89,15 +89,15 @@
         return []
     orders: list[Message] = []
     for service in configuration.services:
-        lease = state.leases.leases.get(find_measuring_resource(service.name))
-        if lease is not None and _may_measure(state, service, lease, tick):
+        resource = find_measuring_resource(service.name)
+        lease = state.leases.leases.get(resource)
+        if lease is not None and _may_measure(state, resource, lease, tick):
             account = measured.setdefault(service.name, MeasuringState())
             orders.extend(_probe_service(state, service, account, lease, tick))
     return orders
 
 
-def _may_measure(state: DaemonState, service: Service, lease: Lease, tick: ControlTicked) -> bool:
-    resource = find_measuring_resource(service.name)
+def _may_measure(state: DaemonState, resource: str, lease: Lease, tick: ControlTicked) -> bool:
     if lease.tenure is None or not state.leases.holds(resource, tick.now, tick.wall):
         return False
     # Probes of an earlier holder may still start.
