--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,7 +4,7 @@
 stamp=target/requirements.txt
 if ! cmp -s deploy/requirements.txt "$stamp"; then
     rm -rf target/deps
-    python3 -m pip install --quiet --disable-pip-version-check --no-compile \
+    python3 -m pip install --quiet --disable-pip-version-check \
         --target target/deps -r deploy/requirements.txt
     cp deploy/requirements.txt "$stamp"
 fi
@@ -13,4 +13,4 @@
     rm -rf "target/deps/$name"
     cp -R "packages/dotterelgate-$package/src/$name" "target/deps/$name"
 done
-rm -rf target/deps/dotterelgate_*/__pycache__
+python3 -m compileall -q target/deps
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/serving.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/serving.py
@@ -11,7 +11,8 @@
 from circuits import Component
 
 from dotterelgate_daemon.codec import RequestReader, encode_answer_head
-from dotterelgate_daemon.streams import StreamService, make_poller
+from dotterelgate_daemon.polling import DirectPoller
+from dotterelgate_daemon.streams import StreamService
 from dotterelgate_daemon.timers import TimerService
 
 if TYPE_CHECKING:
@@ -142,9 +143,9 @@
 def build_loop() -> tuple[Component, StreamService, TimerService]:
     """Build the loop that a stand-in process runs."""
     root = Component()
-    poller = make_poller()
+    poller = DirectPoller()
     streams = StreamService(poller=poller)
     timers = TimerService()
-    for component in (poller, streams, timers):
+    for component in (poller, timers):
         component.register(root)
     return root, streams, timers
--- a/packages/dotterelgate-core/src/dotterelgate_core/queues.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/queues.py
@@ -111,6 +111,11 @@
 
     queues: dict[str, ServiceQueue] = field(default_factory=dict)
 
+    def is_waited_for(self, service: str) -> bool:
+        """Tell whether requests wait for a slot of a service."""
+        queue = self.queues.get(service)
+        return queue is not None and queue.count_waiting() > 0
+
     def find(self, service: str) -> ServiceQueue:
         """Find the queue of a service, making it on first use."""
         queue = self.queues.get(service)
--- a/packages/dotterelgate-core/src/dotterelgate_core/routes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/routes.py
@@ -64,6 +64,7 @@
         deadline=message.now + timeout,
     )
     state.calls.add(routed)
+    state.times.routed_at[service.name] = message.now
     return routed
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
@@ -6,9 +6,8 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ControlTicked, Probe, ProbeAnswered
-from dotterelgate_core.messages import SlotFreed
 from dotterelgate_core.peers import rank_by_rendezvous
-from dotterelgate_core.sharing import select_alive
+from dotterelgate_core.sharing import free_slots, select_alive
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,6 +24,9 @@
 # is: below the platform's lowest bound of 42 a second for all together.
 LEAST_SECONDS = 0.03
 PROBE_TIMEOUT_SECONDS = 0.4
+# Without requests of a service for this long its backend servers are asked rarely.
+DEMAND_SECONDS = 2.0
+IDLE_SECONDS = 1.0
 # One that did not answer is asked less often.
 SILENT_SECONDS = 0.5
 PROBE_COST_SECONDS = 0.006
@@ -96,11 +98,17 @@
     since = now - sampling.asked_at.get(name, float("-inf"))
     if since < (SILENT_SECONDS if name in sampling.silent else LEAST_SECONDS):
         return False
-    if now - server.view.reported_at < SAMPLE_SECONDS:
+    if now - server.view.reported_at < _choose_age(state, server.service, now):
         return False
     return _find_sampler(state, sampling, server) == state.name
 
 
+def _choose_age(state: DaemonState, service: str, now: float) -> float:
+    """Choose how old a report may get: old ones do for services without requests."""
+    routed_at = state.times.routed_at.get(service, float("-inf"))
+    return SAMPLE_SECONDS if now - routed_at < DEMAND_SECONDS else IDLE_SECONDS
+
+
 def _follow_peers(state: DaemonState, sampling: SamplingState, now: float) -> None:
     zones = {server.server.zone for server in state.servers.states.values()}
     alive = {zone: sorted(select_alive(state, now, zone)) for zone in zones}
@@ -127,7 +135,7 @@
     server = state.servers.states.get(name)
     if server is None:
         return []
-    state.servers.changed.add(name)
+    state.servers.sampled.add(name)
     known = answered.said_name is None or answered.said_name == name
     if not answered.answered or not known:
         sampling.silent.add(name)
@@ -138,4 +146,4 @@
     if answered.load is not None:
         server.view.note_report(answered.load, server.in_flight, answered.now)
         server.view.is_untold = True
-    return [SlotFreed(now=answered.now, service=answered.service)]
+    return free_slots(state, (answered.service,), answered.now)
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -128,12 +128,14 @@
 class ServerTable:
     """All backend servers in use, by name.
 
-    :param changed: names of those whose load this daemon has yet to tell others
+    :param changed: names of those whose requests here changed, to be told to peers
+    :param sampled: names of those that a probe brought a report of, to be told too
     """
 
     states: dict[str, ServerState] = field(default_factory=dict)
     by_service: dict[str, list[ServerState]] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    sampled: set[str] = field(default_factory=set)
 
     def follow_configuration(self, services: tuple[Service, ...], *, warm: bool) -> None:
         """Add and drop backend servers so that they match the configuration.
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -17,10 +17,21 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["HeartbeatHeard", "LoadHeard", "ServerLoad", "make_sharing_filter", "select_alive"]
+__all__ = [
+    "HeartbeatHeard",
+    "LoadHeard",
+    "ServerLoad",
+    "free_slots",
+    "make_sharing_filter",
+    "select_alive",
+]
 
 # Heartbeats come every 0.25 s in an availability zone; four in a row may be lost.
 SILENCE_SECONDS = 1.2
+# Other zones hear every eighth of them; one in a row may be lost.
+FAR_SILENCE_SECONDS = 4.5
+# Counts that nobody repeats are looked for this often.
+FORGET_SECONDS = 0.2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,10 +80,11 @@
 
 def select_alive(state: DaemonState, now: float, zone: str) -> list[str]:
     """Name the daemons of a zone that were heard lately, this one included."""
+    silence = SILENCE_SECONDS if zone == state.zone else FAR_SILENCE_SECONDS
     alive = [
         peer.name
         for peer in state.peers.listed.values()
-        if peer.zone == zone and not peer.leaving and now - peer.heard_at <= SILENCE_SECONDS
+        if peer.zone == zone and not peer.leaving and now - peer.heard_at <= silence
     ]
     if zone == state.zone and not state.peers.leaving:
         alive.append(state.name)
@@ -81,6 +93,7 @@
 
 def make_sharing_filter(state: DaemonState) -> Filter:
     """Make the filter from peers' messages to the shared view of the load."""
+    forgot_at = float("-inf")
 
     def share(message: Message) -> Iterable[Message]:
         if isinstance(message, LoadHeard):
@@ -88,6 +101,10 @@
         if isinstance(message, HeartbeatHeard):
             return _take_heartbeat(state, message)
         if isinstance(message, ControlTicked):
+            nonlocal forgot_at
+            if message.now - forgot_at < FORGET_SECONDS:
+                return (message,)
+            forgot_at = message.now
             state.sharers = max(1, len(select_alive(state, message.now, state.zone)))
             return [*_forget_old(state, message.now), message]
         return (message,)
@@ -103,7 +120,7 @@
             continue
         _take_load(server, load, heard)
         services[server.service] = None
-    return [SlotFreed(now=heard.now, service=name) for name in services]
+    return free_slots(state, services, heard.now)
 
 
 def _take_load(server: ServerState, load: ServerLoad, heard: LoadHeard) -> None:
@@ -149,4 +166,11 @@
     for server in state.servers.states.values():
         if server.view.forget_old(now):
             freed[server.service] = None
-    return [SlotFreed(now=now, service=name) for name in freed]
+    return free_slots(state, freed, now)
+
+
+def free_slots(state: DaemonState, services: Iterable[str], now: float) -> list[Message]:
+    """Say that services may have room, those that no request waits for left out."""
+    return [
+        SlotFreed(now=now, service=name) for name in services if state.waiting.is_waited_for(name)
+    ]
--- a/packages/dotterelgate-core/src/dotterelgate_core/worktimes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/worktimes.py
@@ -20,8 +20,12 @@
 
 @dataclass(kw_only=True, slots=True)
 class WorkTimes:
-    """Smoothed seconds per request on a calm backend server, by service and route."""
+    """Smoothed seconds per request on a calm backend server, by service and route.
 
+    :param routed_at: monotonic second of the last request of each service
+    """
+
+    routed_at: dict[str, float] = field(default_factory=dict)
     _seconds: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def estimate(self, service: Service, route: Route) -> float:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -82,7 +82,7 @@
         count_held=lambda: _count_held(base.state),
         retire=lambda: _retire(base.state),
     ).begin
-    for component in (base.poller, base.timers, base.streams, parts.links):
+    for component in (base.poller, base.timers, parts.links):
         component.register(daemon)
     endpoint = Endpoint(
         is_healthy=lambda: _is_healthy(base.state),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/foundation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/foundation.py
@@ -12,14 +12,13 @@
 from dotterelgate_daemon.gateway import Gateway
 from dotterelgate_daemon.journal import make_decision_writer
 from dotterelgate_daemon.metrics import Metrics
-from dotterelgate_daemon.streams import StreamService, make_poller
+from dotterelgate_daemon.polling import DirectPoller
+from dotterelgate_daemon.streams import StreamService
 from dotterelgate_daemon.timers import PauseWatch, TimerService
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from circuits.core.pollers import EPoll
-
     from dotterelgate_border.settings import FrontSettings
     from dotterelgate_core.messages import Decision
     from dotterelgate_core.pipes import Filter
@@ -31,9 +30,9 @@
 
 CALL_ID_BITS = 40
 TICK_SECONDS = 0.02
-PAUSE_BEAT_SECONDS = 0.05
+PAUSE_BEAT_SECONDS = 0.04
 HOUSEKEEPING_SECONDS = 1.0
-LOG_SECONDS = 0.05
+LOG_SECONDS = 0.1
 REMEMBERED_BODY_BYTES = 16_384
 
 
@@ -42,7 +41,7 @@
     """Callers, backend servers, timers, metrics and log of one daemon."""
 
     state: DaemonState
-    poller: EPoll
+    poller: DirectPoller
     timers: TimerService
     streams: StreamService
     pools: PoolTable
@@ -66,7 +65,7 @@
     :param lines: log lines that wait to be written
     """
     write_decision = make_decision_writer(settings.name)
-    poller = make_poller()
+    poller = DirectPoller()
     timers = TimerService()
     watch = PauseWatch()
     metrics = Metrics()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/measuring.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/measuring.py
@@ -24,6 +24,9 @@
 
 __all__ = ["Prober"]
 
+# Probes that are not answered are looked for this often.
+SWEEP_SECONDS = 0.1
+
 
 class Prober:
     """Carries out probes.
@@ -43,7 +46,8 @@
     ) -> None:
         self._dialect = dialect
         self._pools = pools
-        self._timers = timers
+        self._pending: list[tuple[float, Exchange, str]] = []
+        timers.subscribe(interval=SWEEP_SECONDS, call=self._end_late)
         self._metrics = metrics
         self._tell = tell
 
@@ -88,5 +92,12 @@
         )
         pool = self._pools.find(server.address, limit=server.connections)
         pool.run(exchange, fresh=False)
-        slow = Refusal(codes.DEADLINE_EXCEEDED, f"{server.name} did not answer a probe in time")
-        self._timers.call_after(delay=order.timeout, call=lambda: exchange.fail(slow))
+        self._pending.append((time.monotonic() + order.timeout, exchange, server.name))
+
+    def _end_late(self) -> None:
+        now = time.monotonic()
+        late = [each for each in self._pending if each[0] <= now]
+        self._pending = [each for each in self._pending if each[0] > now]
+        for _, exchange, name in late:
+            reason = f"{name} did not answer a probe in time"
+            exchange.fail(Refusal(codes.DEADLINE_EXCEEDED, reason))
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -8,7 +8,6 @@
 
 import msgspec
 import structlog
-from circuits import BaseComponent, handler
 
 from dotterelgate_border.datagrams import (
     Heartbeat,
@@ -19,17 +18,17 @@
 )
 from dotterelgate_core.loads import LoadReport
 from dotterelgate_core.sharing import HeartbeatHeard, LoadHeard, ServerLoad, select_alive
+from dotterelgate_daemon.polling import Watch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from circuits.core.pollers import EPoll
-
     from dotterelgate_border.datagrams import Datagram
     from dotterelgate_core.pipes import Message
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
     from dotterelgate_daemon.metrics import Metrics
+    from dotterelgate_daemon.polling import DirectPoller
     from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["Mesh"]
@@ -38,15 +37,17 @@
 
 RECEIVE_BYTES = 65_535
 READS_PER_EVENT = 128
-# Changed loads of one pass of the loop go out together.
+# Counts of requests go out at once, those of one pass of the loop together.
 FLUSH_SECONDS = 0.001
+# Reports that only a probe brought may wait for others.
+REPORT_FLUSH_SECONDS = 0.008
 # Other availability zones hear every eighth heartbeat; bytes between zones cost.
 FAR_EVERY = 8
 PERCENT = 100
 MILLISECONDS = 1000
 
 
-class Mesh(BaseComponent):
+class Mesh:
     """Sends to and hears the other daemons; a lost datagram only costs freshness.
 
     :param address: where this daemon takes datagrams
@@ -61,30 +62,39 @@
         address: str,
         incarnation: str,
         state: DaemonState,
-        poller: EPoll,
+        poller: DirectPoller,
         timers: TimerService,
         metrics: Metrics,
         tell: Callable[[Message], None],
     ) -> None:
-        super().__init__()
         self.address = address
         self.take_news: Callable[[Datagram], None] = lambda message: None
         self._incarnation = incarnation
         self._state = state
         self._timers = timers
         self._metrics = metrics
+        self._sent_bytes = metrics.control_bytes.labels(channel="mesh")
         self._tell = tell
         self._beats = 0
-        self._is_flush_due = False
+        self._flush_at = float("inf")
         self._lost_sends = 0
         self._socket = self._bind(address)
-        poller.addReader(self, self._socket)
+        watch = Watch(read=self._read, write=_ignore, lost=_ignore)
+        poller.watch(self, self._socket, watch)
 
     def note_changes(self) -> None:
         """Tell changed loads soon."""
-        if self._state.servers.changed and not self._is_flush_due:
-            self._is_flush_due = True
-            self._timers.call_after(delay=FLUSH_SECONDS, call=self._flush)
+        servers = self._state.servers
+        now = time.monotonic()
+        if servers.changed:
+            due = now + FLUSH_SECONDS
+        elif servers.sampled:
+            due = now + REPORT_FLUSH_SECONDS
+        else:
+            return
+        if due < self._flush_at - FLUSH_SECONDS:
+            self._flush_at = due
+            self._timers.call_after(delay=due - now, call=self._flush)
 
     def beat(self) -> None:
         """Send a heartbeat to the own zone, and now and then to the others."""
@@ -117,7 +127,7 @@
                 )
             return
         self._lost_sends = 0
-        self._metrics.control_bytes.labels(channel="mesh").inc(len(data))
+        self._sent_bytes.inc(len(data))
 
     def send_message(self, address: str, message: Datagram) -> None:
         """Send one message."""
@@ -153,12 +163,14 @@
         )
 
     def _flush(self) -> None:
-        self._is_flush_due = False
-        changed = self._state.servers.changed
+        self._flush_at = float("inf")
+        servers = self._state.servers
+        changed = servers.changed | servers.sampled
         now = time.monotonic()
         states = self._state.servers.states
         loads = [build_load_entry(states[name], now) for name in changed if name in states]
-        changed.clear()
+        servers.changed.clear()
+        servers.sampled.clear()
         if not loads:
             return
         news = LoadNews(sender=self._state.name, incarnation=self._incarnation, loads=loads)
@@ -166,8 +178,7 @@
         for address in self.list_near():
             self.send(address, data)
 
-    @handler("_read")
-    def _on_read(self, _sock: socket.socket) -> None:
+    def _read(self) -> None:
         for _ in range(READS_PER_EVENT):
             try:
                 data = self._socket.recv(RECEIVE_BYTES)
@@ -209,6 +220,10 @@
         self.take_news(message)
 
 
+def _ignore() -> None:
+    pass
+
+
 def build_load_entry(server: ServerState, now: float) -> LoadEntry:
     """Build what peers are told of a backend server, and note that it is told."""
     view = server.view
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -50,7 +50,7 @@
 logger = structlog.get_logger("assembly")
 
 CONTROL_TICK_SECONDS = 0.02
-HEARTBEAT_SECONDS = 0.25
+HEARTBEAT_SECONDS = 0.24
 
 
 def build_store_daemon(
@@ -87,7 +87,7 @@
         tell_stopping=control.mesh.beat,
         finish=daemon.stop,
     ).begin
-    for component in (base.poller, base.timers, base.streams, control.mesh):
+    for component in (base.poller, base.timers):
         component.register(daemon)
     for address in {settings.endpoint, settings.metrics}:
         serve_endpoint(daemon, address, _build_endpoint(base, incarnation))
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -8,13 +8,15 @@
 from typing import TYPE_CHECKING
 
 import structlog
-from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
+
+from dotterelgate_daemon.polling import Watch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Stream", "StreamService", "make_poller"]
+    from dotterelgate_daemon.polling import DirectPoller
+
+__all__ = ["Stream", "StreamService"]
 
 logger = structlog.get_logger("streams")
 
@@ -29,20 +31,6 @@
 UNACKNOWLEDGED_MILLISECONDS = 3000
 
 
-class _Descriptors(set):
-    """Set with the list methods that the poller uses; lookups stay constant."""
-
-    append = set.add
-
-
-def make_poller() -> EPoll:
-    """Make the poller that all parts share."""
-    poller = EPoll()
-    poller._read = _Descriptors(poller._read)
-    poller._write = _Descriptors(poller._write)
-    return poller
-
-
 def set_options(sock: socket.socket) -> None:
     """Send small writes at once, and notice a silent other side."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -146,7 +134,7 @@
 
     def read(self) -> None:
         """Pass on what the kernel has."""
-        if not self.is_open:
+        if not self.is_open or self._paused:
             return
         try:
             data = self.sock.recv(READ_BYTES)
@@ -188,15 +176,13 @@
         return data[sent:]
 
 
-class StreamService(BaseComponent):
+class StreamService:
     """All TCP streams of the daemon."""
 
     channel = "streams"
 
-    def __init__(self, *, poller: EPoll) -> None:
-        super().__init__()
+    def __init__(self, *, poller: DirectPoller) -> None:
         self._poller = poller
-        self._streams: dict[socket.socket, Stream] = {}
         self._listeners: dict[socket.socket, Callable[[socket.socket], None]] = {}
 
     def listen(self, *, address: str, accept: Callable[[socket.socket], None]) -> socket.socket:
@@ -211,7 +197,8 @@
         sock.listen(BACKLOG)
         sock.setblocking(False)
         self._listeners[sock] = accept
-        self._poller.addReader(self, sock)
+        watch = Watch(read=lambda: self._accept(sock), write=_ignore, lost=_ignore)
+        self._poller.watch(self, sock, watch)
         return sock
 
     def stop_listening(self, sock: socket.socket) -> None:
@@ -231,8 +218,7 @@
         sock.setblocking(False)
         set_options(sock)
         stream = Stream(sock=sock, service=self, receive=receive, lost=lost)
-        self._streams[sock] = stream
-        self._poller.addReader(self, sock)
+        self._watch(stream, writes=False)
         return stream
 
     def open(
@@ -255,14 +241,11 @@
             sock.close()
             return None
         stream = Stream(sock=sock, service=self, receive=receive, lost=lost, ready=ready)
-        self._streams[sock] = stream
-        self._poller.addReader(self, sock)
-        self._poller.addWriter(self, sock)
+        self._watch(stream, writes=True)
         return stream
 
     def drop(self, stream: Stream) -> None:
         """Forget a stream and close its socket."""
-        self._streams.pop(stream.sock, None)
         self._poller.discard(stream.sock)
         stream.sock.close()
 
@@ -284,25 +267,9 @@
         """Take arriving bytes from the kernel again."""
         self._poller.addReader(self, stream.sock)
 
-    @handler("_read")
-    def _on_read(self, sock: socket.socket) -> None:
-        stream = self._streams.get(sock)
-        if stream is not None:
-            stream.read()
-        elif sock in self._listeners:
-            self._accept(sock)
-
-    @handler("_write")
-    def _on_write(self, sock: socket.socket) -> None:
-        stream = self._streams.get(sock)
-        if stream is not None:
-            stream.flush()
-
-    @handler("_disconnect", "_error")
-    def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
-        stream = self._streams.get(sock)
-        if stream is not None:
-            stream.end()
+    def _watch(self, stream: Stream, *, writes: bool) -> None:
+        watch = Watch(read=stream.read, write=stream.flush, lost=stream.end)
+        self._poller.watch(self, stream.sock, watch, writes=writes)
 
     def _accept(self, listener: socket.socket) -> None:
         for _ in range(ACCEPTS_PER_EVENT):
@@ -314,3 +281,7 @@
                 logger.warning("streams: a connection could not be accepted", error=str(error))
                 return
             self._listeners[listener](sock)
+
+
+def _ignore() -> None:
+    pass
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/timers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/timers.py
@@ -67,17 +67,27 @@
         self._due: list[tuple[float, int, Callable[[], None]]] = []
 
     def subscribe(self, *, interval: float, call: Callable[[], None]) -> None:
-        """Call a function every ``interval`` seconds, late ones once."""
+        """Call a function every ``interval`` seconds, late ones once.
+
+        Intervals that divide each other fall due together, which saves wake-ups.
+        """
 
         def repeat() -> None:
-            self.call_after(delay=interval, call=repeat)
+            self._add(self._align(interval), repeat)
             call()
 
-        self.call_after(delay=interval, call=repeat)
+        self._add(self._align(interval), repeat)
 
     def call_after(self, *, delay: float, call: Callable[[], None]) -> None:
         """Call a function once after ``delay`` seconds."""
-        heapq.heappush(self._due, (time.monotonic() + delay, next(self._order), call))
+        self._add(time.monotonic() + delay, call)
+
+    @staticmethod
+    def _align(interval: float) -> float:
+        return (time.monotonic() // interval + 1.0) * interval
+
+    def _add(self, at: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (at, next(self._order), call))
 
     @handler("generate_events")
     def _on_generate_events(self, event) -> None:  # type: ignore[no-untyped-def]
