--- a/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from dotterelgate_bench.serving import StandIn, answer_json
+from dotterelgate_bench.serving import HttpServer, answer_json
 from dotterelgate_daemon.codec import encode_answer_head
 
 if TYPE_CHECKING:
@@ -77,7 +77,7 @@
         self._random = Random(self.seed)
         self._started = time.monotonic()
         self._served: set[int] = set()
-        self._stand_in = StandIn(streams=self.streams, address=self.address, answer=self._answer)
+        self._stand_in = HttpServer(streams=self.streams, address=self.address, answer=self._answer)
 
     def _answer(self, asked: Asked) -> None:
         if asked.path == "/_faults":
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/platform.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/platform.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from dotterelgate_bench.serving import StandIn, answer_json
+from dotterelgate_bench.serving import HttpServer, answer_json
 
 if TYPE_CHECKING:
     from dotterelgate_bench.serving import Asked
@@ -45,7 +45,7 @@
         self._records: deque[tuple[int, float, dict]] = deque()
         self._next = 0
         self._appends = 0
-        StandIn(streams=streams, address=address, answer=self._answer)
+        HttpServer(streams=streams, address=address, answer=self._answer)
 
     def _answer(self, asked: Asked) -> None:
         if asked.path == "/faults":
@@ -113,7 +113,7 @@
     versions: list[tuple[float, list[dict]]] = field(default_factory=lambda: [(0.0, [])])
 
     def __post_init__(self) -> None:
-        StandIn(streams=self.streams, address=self.address, answer=self._answer)
+        HttpServer(streams=self.streams, address=self.address, answer=self._answer)
 
     def _answer(self, asked: Asked) -> None:
         if asked.path == "/faults":
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/serving.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/serving.py
@@ -1,151 +1,21 @@
-"""Small HTTP server that the stand-ins share, with ways to misbehave."""
+"""The loop that the stand-ins run on."""
 
 from __future__ import annotations
 
-import json
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
-from urllib.parse import parse_qsl
-
 from circuits import Component
 
-from dotterelgate_daemon.codec import RequestReader, encode_answer_head
 from dotterelgate_daemon.polling import DirectPoller
+from dotterelgate_daemon.serving import Asked, HttpServer, answer_json
 from dotterelgate_daemon.streams import StreamService
 from dotterelgate_daemon.timers import TimerService
 
-if TYPE_CHECKING:
-    import socket
-
-    from dotterelgate_core.codes import ResultCode
-    from dotterelgate_daemon.codec import HeaderList, RequestHead
-    from dotterelgate_daemon.streams import Stream
-
-__all__ = ["Asked", "StandIn", "answer_json", "build_loop"]
-
-HEAD_LIMIT_BYTES = 65_536
-
-
-@dataclass(kw_only=True)
-class Asked:
-    """One request to a stand-in.
-
-    :param connection: the connection it came on
-    :param gone: called when the connection ends before the answer
-    """
-
-    head: RequestHead
-    connection: _Connection
-    body: bytearray = field(default_factory=bytearray)
-    gone: Callable[[], None] | None = None
-
-    @property
-    def path(self) -> str:
-        """Path without the query."""
-        return self.head.target.partition("?")[0]
-
-    @property
-    def query(self) -> dict[str, str]:
-        """Query parameters."""
-        return dict(parse_qsl(self.head.target.partition("?")[2]))
-
-    def find_header(self, name: bytes) -> str | None:
-        """Find the first value of a header."""
-        for each, value in self.head.headers:
-            if each == name:
-                return value.decode("latin-1")
-        return None
-
-    def answer(self, status: int, body: bytes = b"", headers: HeaderList | None = None) -> None:
-        """Answer the request."""
-        listed = [*(headers or []), (b"content-length", b"%d" % len(body))]
-        self.connection.write(encode_answer_head(status, listed))
-        self.connection.write(b"" if self.head.method == "HEAD" else body)
-        self.connection.finish()
-
-
-class _Connection:
-    def __init__(self, *, stand_in: StandIn, sock: socket.socket) -> None:
-        self._stand_in = stand_in
-        self._asked: list[Asked] = []
-        self.is_new = True
-        self.stream: Stream = stand_in.streams.adopt(
-            sock=sock, receive=self._receive, lost=self._lose
-        )
-        self._reader = RequestReader(
-            head_limit=HEAD_LIMIT_BYTES,
-            begin=self._begin,
-            body=lambda part: self._asked[-1].body.extend(part),
-            end=self._end,
-            refuse=self._refuse,
-        )
-
-    def write(self, data: bytes) -> None:
-        """Write raw bytes."""
-        self.stream.write(data)
-
-    def close(self) -> None:
-        """Close at once."""
-        self._stand_in.connections.discard(self)
-        self.stream.close()
-
-    def finish(self) -> None:
-        """Take the answered request off and answer the next."""
-        if self._asked:
-            self._asked.pop(0)
-
-    def _receive(self, data: bytes) -> None:
-        self._reader.feed(data)
-
-    def _begin(self, head: RequestHead) -> None:
-        self._asked.append(Asked(head=head, connection=self))
-
-    def _end(self) -> None:
-        self._stand_in.answer(self._asked[-1])
-
-    def _refuse(self, _code: ResultCode, _reason: str) -> None:
-        self.close()
-
-    def _lose(self) -> None:
-        self._stand_in.connections.discard(self)
-        for asked in self._asked:
-            if asked.gone is not None:
-                asked.gone()
-
-
-class StandIn:
-    """One listening stand-in.
-
-    :param answer: called with each whole request
-    """
-
-    def __init__(
-        self, *, streams: StreamService, address: str, answer: Callable[[Asked], None]
-    ) -> None:
-        self.streams = streams
-        self.answer = answer
-        self.connections: set[_Connection] = set()
-        self.accepted = 0
-        self._listener = streams.listen(address=address, accept=self._accept)
-
-    def _accept(self, sock: socket.socket) -> None:
-        self.accepted += 1
-        self.connections.add(_Connection(stand_in=self, sock=sock))
-
-
-def answer_json(asked: Asked, document: object, status: int = 200) -> None:
-    """Answer with a JSON document."""
-    body = json.dumps(document).encode("utf-8")
-    asked.answer(status, body, [(b"content-type", b"application/json")])
+__all__ = ["Asked", "HttpServer", "answer_json", "build_loop"]
 
 
 def build_loop() -> tuple[Component, StreamService, TimerService]:
     """Build the loop that a stand-in process runs."""
     root = Component()
-    poller = DirectPoller()
-    streams = StreamService(poller=poller)
     timers = TimerService()
-    for component in (poller, timers):
-        component.register(root)
-    return root, streams, timers
+    poller = DirectPoller(timers=timers)
+    poller.register(root)
+    return root, StreamService(poller=poller), timers
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -82,7 +82,7 @@
         count_held=lambda: _count_held(base.state),
         retire=lambda: _retire(base.state),
     ).begin
-    for component in (base.poller, base.timers, parts.links):
+    for component in (base.poller, parts.links):
         component.register(daemon)
     endpoint = Endpoint(
         is_healthy=lambda: _is_healthy(base.state),
@@ -90,7 +90,7 @@
         describe=lambda: describe_daemon(base.state, parts.position, parts.incarnation),
         explain=lambda method, host, path: explain_route(base.state, method, host, path),
     )
-    serve_endpoint(daemon, settings.endpoint, endpoint)
+    serve_endpoint(base.streams, settings.endpoint, endpoint)
     _schedule(parts)
     return daemon
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/endpoint.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/endpoint.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
-import json
+from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from circuits.web import Controller, Server
+from dotterelgate_daemon.serving import HttpServer, answer_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from circuits import BaseComponent
+    from dotterelgate_daemon.serving import Asked
+    from dotterelgate_daemon.streams import StreamService
 
 __all__ = ["Endpoint", "serve_endpoint"]
 
 
-class Endpoint(Controller):
-    """Answers ``/health``, ``/metrics``, ``/status`` and ``/explain``.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Endpoint:
+    """What ``/health``, ``/metrics``, ``/status`` and ``/explain`` answer.
 
     :param is_healthy: whether the platform's balancer should send callers here
     :param render_metrics: the metrics in the text format
@@ -24,48 +27,47 @@
     :param explain: why a request would go where it goes
     """
 
-    channel = "/"
-
-    def __init__(
-        self,
-        *,
-        is_healthy: Callable[[], bool],
-        render_metrics: Callable[[], bytes],
-        describe: Callable[[], dict],
-        explain: Callable[[str, str, str], dict],
-    ) -> None:
-        super().__init__()
-        self._is_healthy = is_healthy
-        self._render_metrics = render_metrics
-        self._describe = describe
-        self._explain = explain
-
-    def health(self) -> str:
-        """Answer 200 while callers should be sent here, else 503."""
-        if self._is_healthy():
-            return "serving\n"
-        self.response.status = 503
-        return "stopping or without configuration\n"
-
-    def metrics(self) -> str:
-        """Answer with the metrics."""
-        self.response.headers["Content-Type"] = "text/plain; version=0.0.4"
-        return self._render_metrics().decode("utf-8")
-
-    def status(self) -> str:
-        """Answer with the daemon's state."""
-        self.response.headers["Content-Type"] = "application/json"
-        return json.dumps(self._describe())
-
-    def explain(self, method: str = "GET", host: str = "", path: str = "/") -> str:
-        """Answer with where a request would go and why."""
-        self.response.headers["Content-Type"] = "application/json"
-        return json.dumps(self._explain(method, host, path))
-
-
-def serve_endpoint(parent: BaseComponent, address: str, endpoint: Endpoint) -> None:
-    """Serve the endpoint on ``IP:port`` below a component."""
-    host, port = address.rsplit(":", 1)
-    server = Server((host, int(port)))
-    server.register(parent)
-    endpoint.register(server)
+    is_healthy: Callable[[], bool]
+    render_metrics: Callable[[], bytes]
+    describe: Callable[[], dict]
+    explain: Callable[[str, str, str], dict]
+
+
+def serve_endpoint(streams: StreamService, address: str, endpoint: Endpoint) -> None:
+    """Serve the endpoint on ``IP:port``.
+
+    :raises OSError: when the address cannot be bound
+    """
+    pages: dict[str, Callable[[Asked], None]] = {
+        "/health": lambda asked: _answer_health(asked, endpoint),
+        "/metrics": lambda asked: _answer_metrics(asked, endpoint),
+        "/status": lambda asked: answer_json(asked, endpoint.describe()),
+        "/explain": lambda asked: _answer_explanation(asked, endpoint),
+    }
+
+    def answer(asked: Asked) -> None:
+        pages.get(asked.path, _answer_unknown)(asked)
+
+    HttpServer(streams=streams, address=address, answer=answer)
+
+
+def _answer_health(asked: Asked, endpoint: Endpoint) -> None:
+    if endpoint.is_healthy():
+        asked.answer(HTTPStatus.OK, b"serving\n")
+    else:
+        asked.answer(HTTPStatus.SERVICE_UNAVAILABLE, b"stopping or without configuration\n")
+
+
+def _answer_metrics(asked: Asked, endpoint: Endpoint) -> None:
+    headers = [(b"content-type", b"text/plain; version=0.0.4")]
+    asked.answer(HTTPStatus.OK, endpoint.render_metrics(), headers)
+
+
+def _answer_explanation(asked: Asked, endpoint: Endpoint) -> None:
+    query = asked.query
+    method, host = query.get("method", "GET"), query.get("host", "")
+    answer_json(asked, endpoint.explain(method, host, query.get("path", "/")))
+
+
+def _answer_unknown(asked: Asked) -> None:
+    asked.answer(HTTPStatus.NOT_FOUND, b"no such page\n")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/foundation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/foundation.py
@@ -65,8 +65,8 @@
     :param lines: log lines that wait to be written
     """
     write_decision = make_decision_writer(settings.name)
-    poller = DirectPoller()
     timers = TimerService()
+    poller = DirectPoller(timers=timers)
     watch = PauseWatch()
     metrics = Metrics()
     streams = StreamService(poller=poller)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -87,10 +87,9 @@
         tell_stopping=control.mesh.beat,
         finish=daemon.stop,
     ).begin
-    for component in (base.poller, base.timers):
-        component.register(daemon)
+    base.poller.register(daemon)
     for address in {settings.endpoint, settings.metrics}:
-        serve_endpoint(daemon, address, _build_endpoint(base, incarnation))
+        serve_endpoint(base.streams, address, _build_endpoint(base, incarnation))
     base.gate.open(settings.callers)
     control.start()
     logger.info("assembly: the daemon starts", daemon=settings.name, incarnation=incarnation)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/timers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/timers.py
@@ -7,8 +7,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from circuits import BaseComponent, handler
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -56,13 +54,10 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME), time.monotonic()
 
 
-class TimerService(BaseComponent):
+class TimerService:
     """Calls functions after a delay or at an interval, on the loop's thread."""
 
-    channel = "timers"
-
     def __init__(self) -> None:
-        super().__init__()
         self._order = itertools.count()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
 
@@ -89,12 +84,15 @@
     def _add(self, at: float, call: Callable[[], None]) -> None:
         heapq.heappush(self._due, (at, next(self._order), call))
 
-    @handler("generate_events")
-    def _on_generate_events(self, event) -> None:  # type: ignore[no-untyped-def]
+    def run_due(self) -> float:
+        """Call what is due.
+
+        :returns: seconds until the next call
+        """
         now = time.monotonic()
         while self._due and self._due[0][0] <= now:
             _, _, call = heapq.heappop(self._due)
             call()
-            event.reduce_time_left(0)
-        if self._due:
-            event.reduce_time_left(max(0.0, self._due[0][0] - time.monotonic()))
+        if not self._due:
+            return float("inf")
+        return max(0.0, self._due[0][0] - time.monotonic())
