--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -60,11 +60,15 @@
 
 
 class LoadNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=2):
-    """Loads that changed since the sender's last news."""
+    """Loads that changed since the sender's last news.
+
+    :param is_far: whether they are all the loads of another zone, summed there
+    """
 
     sender: str
     incarnation: str
     loads: list[LoadEntry]
+    is_far: bool = False
 
 
 class RegistryEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -50,6 +50,7 @@
         return [Settled(now=routed.now, call_id=routed.call.id, refusal=refusal, ran=False)]
     state.retries.find(routed.service.name, routed.service.retry_share).earn()
     call_state.admitted = True
+    call_state.work = state.times.estimate(routed.service, routed.route)
     queue.add(call_state)
     return [SlotFreed(now=routed.now, service=routed.service.name)]
 
@@ -87,7 +88,7 @@
     """Limit the seconds that a call may wait before its dispatch."""
     routed = call_state.routed
     time = routed.deadline - call_state.arrived
-    work = state.times.estimate(routed.service, routed.route)
+    work = call_state.work or state.times.estimate(routed.service, routed.route)
     return max(0.0, min(WAIT_SHARE * time, time - work))
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -32,6 +32,7 @@
     :param expected: slowdown that its dispatch was expected to meet
     :param unsent: dispatches of which nothing was sent
     :param admitted: whether it was let into the queue
+    :param work: seconds that it is expected to take on a calm backend server
     """
 
     routed: CallRouted
@@ -50,6 +51,7 @@
     expected: float = 0.0
     unsent: int = 0
     admitted: bool = False
+    work: float = 0.0
 
     def patient_until(self, share: float) -> float:
         """Tell until when it may wait for a better backend server.
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -7,7 +7,7 @@
 
 from dotterelgate_core.control_messages import ControlTicked
 from dotterelgate_core.messages import Decision, SlotFreed
-from dotterelgate_core.peers import Peer
+from dotterelgate_core.peers import Peer, rank_by_rendezvous
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -30,6 +30,7 @@
 SILENCE_SECONDS = 1.2
 # Other zones hear every eighth of them; one in a row may be lost.
 FAR_SILENCE_SECONDS = 4.5
+RELAY_SUBJECT = "relay"
 # Counts that nobody repeats are looked for this often.
 FORGET_SECONDS = 0.2
 
@@ -55,11 +56,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadHeard:
-    """A peer of the availability zone tells changed loads."""
+    """A peer tells changed loads.
+
+    :param is_far: whether it speaks for another availability zone as a whole
+    """
 
     now: float
     peer: str
     loads: tuple[ServerLoad, ...]
+    is_far: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,7 +123,10 @@
         server = state.servers.states.get(load.server)
         if server is None:
             continue
-        _take_load(server, load, heard)
+        if heard.is_far:
+            _take_far_load(state, server, load, heard)
+        else:
+            _take_load(server, load, heard)
         services[server.service] = None
     return free_slots(state, services, heard.now)
 
@@ -133,6 +141,23 @@
         server.view.note_pace(load.pace, heard.now)
 
 
+def _take_far_load(
+    state: DaemonState, server: ServerState, load: ServerLoad, heard: LoadHeard
+) -> None:
+    """Take the sum of another zone, and pass it on within this one."""
+    if load.report is None or server.server.zone == state.zone:
+        return
+    server.view.note_report(load.report, server.in_flight, heard.now - load.age)
+    server.view.is_untold = True
+    state.servers.sampled.add(server.server.name)
+
+
+def find_relay(state: DaemonState, now: float, zone: str) -> str | None:
+    """Find the daemon of a zone that speaks to the other zones."""
+    alive = select_alive(state, now, zone)
+    return rank_by_rendezvous(RELAY_SUBJECT, alive)[0] if alive else None
+
+
 def _take_heartbeat(state: DaemonState, heard: HeartbeatHeard) -> list[Message]:
     peer = state.peers.listed.get(heard.peer)
     messages: list[Message] = []
--- a/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
@@ -29,6 +29,11 @@
 ACCEPTED_FACTOR = 2.2
 # Share of its target that a call waits for a better backend server.
 PATIENT_SHARE = 0.15
+# Share of its time after which a call takes one that answers after the target, as
+# long as it answers in time.
+LATE_SHARE = 0.2
+# Time on the way from and to the caller, which the target includes.
+WAY_SECONDS = 0.016
 # Choices closer than this share are taken in turn, so that daemons with the same
 # view do not all choose the same backend server.
 JITTER_SHARE = 0.05
@@ -52,13 +57,26 @@
             factor *= 1.0 + JITTER_SHARE * random.random()
             if factor < least:
                 best, least = state, factor
-        if least > ACCEPTED_FACTOR and now < call.patient_until(PATIENT_SHARE):
-            return None
-        return best
+        return best if _is_good_enough(call, least, now) else None
 
     return choose
 
 
+def _is_good_enough(call: CallState, factor: float, now: float) -> bool:
+    """Tell whether to take the best backend server now rather than wait for another."""
+    if factor <= ACCEPTED_FACTOR:
+        return True
+    if now < call.patient_until(PATIENT_SHARE):
+        return False
+    routed = call.routed
+    finish = now + factor * call.work
+    target = routed.route.target or routed.route.timeout
+    if finish + WAY_SECONDS <= call.arrived + target:
+        return True
+    time = routed.deadline - call.arrived
+    return now >= call.arrived + LATE_SHARE * time and finish + WAY_SECONDS <= routed.deadline
+
+
 def find_usual_slowdown(states: Sequence[ServerState]) -> float:
     """Find the mean slowdown that the backend servers reported last."""
     reports = [state.view.report.slowdown for state in states if state.view.report is not None]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -17,7 +17,13 @@
     encode_datagram,
 )
 from dotterelgate_core.loads import LoadReport
-from dotterelgate_core.sharing import HeartbeatHeard, LoadHeard, ServerLoad, select_alive
+from dotterelgate_core.sharing import (
+    HeartbeatHeard,
+    LoadHeard,
+    ServerLoad,
+    find_relay,
+    select_alive,
+)
 from dotterelgate_daemon.polling import Watch
 
 if TYPE_CHECKING:
@@ -43,6 +49,8 @@
 REPORT_FLUSH_SECONDS = 0.008
 # Other availability zones hear every eighth heartbeat; bytes between zones cost.
 FAR_EVERY = 8
+# Other zones are told of reports that are not older; the next probe brings more.
+FAR_AGE_SECONDS = 0.1
 PERCENT = 100
 MILLISECONDS = 1000
 
@@ -108,6 +116,27 @@
             elif is_far:
                 self.send(peer.address, far)
 
+    def relay(self) -> None:
+        """Tell the loads of the own zone to one daemon of each other zone."""
+        now = time.monotonic()
+        state = self._state
+        if find_relay(state, now, state.zone) != state.name:
+            return
+        loads = [
+            build_far_entry(server, now)
+            for server in state.servers.states.values()
+            if server.server.zone == state.zone and now - server.view.reported_at < FAR_AGE_SECONDS
+        ]
+        if not loads:
+            return
+        news = LoadNews(sender=state.name, incarnation=self._incarnation, loads=loads, is_far=True)
+        data = encode_datagram(news)
+        zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
+        for zone in zones:
+            name = find_relay(state, now, zone)
+            if name in state.peers.listed:
+                self.send(state.peers.listed[name].address, data)
+
     def greet(self, address: str) -> None:
         """Ask the daemon at an address for a heartbeat."""
         message = self._build_heartbeat(counts=False, answers=True)
@@ -245,10 +274,23 @@
     return entry
 
 
+def build_far_entry(server: ServerState, now: float) -> LoadEntry:
+    """Build what another zone is told of a backend server: all that is at it."""
+    report = server.view.report
+    return LoadEntry(
+        server=server.server.name,
+        in_flight=0,
+        running=server.count_load(),
+        slots=server.server.slots,
+        slowdown_percent=PERCENT if report is None else int(report.slowdown * PERCENT),
+        age_ms=int((now - server.view.reported_at) * MILLISECONDS),
+    )
+
+
 def read_load_news(message: LoadNews, now: float) -> LoadHeard:
     """Read a peer's news into the message of the decisions."""
     loads = tuple(_read_load(entry) for entry in message.loads)
-    return LoadHeard(now=now, peer=message.sender, loads=loads)
+    return LoadHeard(now=now, peer=message.sender, loads=loads, is_far=message.is_far)
 
 
 def _read_load(entry: LoadEntry) -> ServerLoad:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -51,6 +51,8 @@
 
 CONTROL_TICK_SECONDS = 0.02
 HEARTBEAT_SECONDS = 0.24
+# Loads go to the other availability zones this often; bytes between zones cost.
+RELAY_SECONDS = 0.06
 
 
 def build_store_daemon(
@@ -166,6 +168,7 @@
         timers = self._base.timers
         timers.subscribe(interval=CONTROL_TICK_SECONDS, call=self._tick)
         timers.subscribe(interval=HEARTBEAT_SECONDS, call=self.mesh.beat)
+        timers.subscribe(interval=RELAY_SECONDS, call=self.mesh.relay)
         timers.call_after(delay=0.0, call=self.configuration.start)
         timers.call_after(delay=0.0, call=self.directory.start)
 
