Answer SIGHUP by checking the settings again; close only connections that no request is on its way to

Cause of cut requests at the end of a stop (planned_stops, seen once beside load: server disconnected without a response): a connection accepted or answered just before the listener closed was closed as idle while its request was on the way. SIGHUP had no handler, so its default ended the process. Load patterns noisy_neighbours and morning_crest get their tests.

--- /dev/null
+++ b/features/steps/pattern_steps.py
@@ -0,0 +1,66 @@
+"""Steps about load patterns."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from subjects.crowd import Crowd
+
+CREST_FROM, CREST_TO = 3.0, 5.0
+
+
+@given("{servers:d} backend servers whose neighbours slow each five times in a quarter of the time")
+def set_servers(context, servers):
+    context.servers = servers
+
+
+def run_both(context, seed, rate):
+    """Run a pattern with the shared queue and with what it has to beat."""
+    context.shared, context.least = (
+        Crowd(policy=policy, seed=seed, rate=rate, servers=context.servers).run()
+        for policy in ("shared_queue", "least_in_flight")
+    )
+
+
+@when("{rate:d} requests a second come for 8 seconds, seed {seed:d}")
+def come_evenly(context, rate, seed):
+    run_both(context, seed, lambda second: rate)
+
+
+@when("requests rise from {low:d} to {high:d} a second and fall again, seed {seed:d}")
+def come_in_crest(context, low, high, seed):
+    run_both(context, seed, lambda second: high if CREST_FROM <= second < CREST_TO else low)
+
+
+@then("the shared queue answers at least {share:d} in 100 within the target")
+def check_share(context, share):
+    reached = 100 * context.shared.in_target / context.shared.asked
+    assert reached >= share, reached
+
+
+@then("least in flight answers at least {margin:d} in 100 fewer")
+def check_margin(context, margin):
+    shared = 100 * context.shared.in_target / context.shared.asked
+    least = 100 * context.least.in_target / context.least.asked
+    assert shared - least >= margin, (shared, least)
+
+
+@then("more requests are answered within the target than by least in flight")
+def check_more(context):
+    assert context.shared.in_target > context.least.in_target, (context.shared, context.least)
+
+
+@then("what is refused was not run")
+def check_true(context):
+    assert context.shared.refused > 0
+    assert not context.shared.told_not_run & context.shared.ran
+
+
+@then("nobody waits longer than {limit:d} ms for a refusal")
+def check_refused_early(context, limit):
+    slowest = 1000 * max(context.shared.refusal_seconds)
+    assert slowest <= limit, slowest
+
+
+@then("fewer requests end without an answer than by least in flight")
+def check_lost(context):
+    assert context.shared.lost < context.least.lost, (context.shared.lost, context.least.lost)
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -12,6 +12,9 @@
 from dotterelgate_bench.fleet import wait_until
 
 LINGER_SECONDS = 1.0
+LEAST_ANSWERS = 20
+# The stopping daemon takes callers for 2 s.
+LONGEST_LOAD_SECONDS = 1.8
 
 
 def start_load(context, **options):
@@ -94,7 +97,14 @@
     context.endings.append(context.load.stop)
     context.load.start()
     context.system.fleet.daemons[name].send(signal.SIGTERM)
-    time.sleep(seconds)
+    began = time.monotonic()
+    # A slow machine needs longer for the answers that the check asks for; the
+    # daemon takes callers for its linger of 2 s.
+    while time.monotonic() - began < seconds or (
+        len(context.load.answers) <= LEAST_ANSWERS
+        and time.monotonic() - began < LONGEST_LOAD_SECONDS
+    ):
+        time.sleep(0.02)
     context.load.stop()
 
 
@@ -127,7 +137,7 @@
 
 @then("every caller got a whole answer or was told not run")
 def check_load(context):
-    assert len(context.load.answers) > 20, len(context.load.answers)
+    assert len(context.load.answers) > LEAST_ANSWERS, len(context.load.answers)
     assert not context.load.wrong, (len(context.load.wrong), context.load.wrong[:5])
 
 
--- /dev/null
+++ b/features/subjects/front.py
@@ -0,0 +1,161 @@
+"""Subject: the decisions of one daemon that follows a keyed store, on a fake clock."""
+
+from __future__ import annotations
+
+import random
+
+from dotterelgate_core import control_messages as control
+from dotterelgate_core import messages
+from dotterelgate_core.configuration import Configuration, Route, Service, SplitPart
+from dotterelgate_core.engine import make_request_pipeline
+from dotterelgate_core.keys import KeyTable
+from dotterelgate_core.leases import LeaseTable
+from dotterelgate_core.peers import PeerTable
+from dotterelgate_core.reading import ReadingState
+from dotterelgate_core.registry import Registration, RegistrationRead, RegistryState
+from dotterelgate_core.retries import BudgetTable
+from dotterelgate_core.sharing import HeartbeatHeard
+from dotterelgate_core.splits import SplitTable
+from dotterelgate_core.state import DaemonState, Limits
+from dotterelgate_core.store_control import ConfigurationStored, make_store_pipeline
+
+SEED = 7
+ZONE = "north"
+RETRY_SHARE = 0.2
+RETRY_BURST = 1.5
+
+
+class Front:
+    """One daemon's request and control pipelines, fed by hand."""
+
+    def __init__(self, *, seed=SEED, policy="shared_queue", name="front-1"):
+        self.now = 100.0
+        self.next_id = 0
+        self.policy = policy
+        self.registry = RegistryState()
+        self.reading = ReadingState()
+        self.state = DaemonState(
+            name=name,
+            zone=ZONE,
+            limits=Limits(),
+            peers=PeerTable(name=name),
+            leases=LeaseTable(holder=name, incarnation="", address="", length=1.0),
+            keys=KeyTable(retention=1.0, limit=0),
+            retries=BudgetTable(burst=RETRY_BURST),
+            splits=SplitTable(random=random.Random(seed)),
+        )
+        self._control = make_store_pipeline(self.state, self.registry, self.reading)
+        self._decide = make_request_pipeline(self.state, random.Random(seed), keyed=False)
+
+    def configure(self, revision=1, *, split=(), services=("s",), attempts=2, target=0.2):
+        """Put a configuration in force, with a read, a write and perhaps a split route."""
+        routes = (
+            Route(prefix="/read/", idempotent=True, timeout=0.5, target=target, attempts=attempts),
+            Route(prefix="/write/", idempotent=False, timeout=0.5, target=target),
+            Route(
+                prefix="/split/",
+                name="split",
+                idempotent=True,
+                timeout=0.5,
+                split=tuple(SplitPart(service=name, weight=weight) for name, weight in split),
+            ),
+        )
+        built = tuple(
+            Service(
+                name=name,
+                servers=(),
+                routes=routes if name == services[0] else (),
+                policy=self.policy,
+                retry_share=RETRY_SHARE,
+            )
+            for name in services
+        )
+        configuration = Configuration(id=str(revision), revision=revision, services=built)
+        return self.tell(
+            ConfigurationStored(now=self.now, configuration=configuration, source="the store")
+        )
+
+    def register(self, name, *, offset, service="s", draining=False, born=1, slots=3, zone=ZONE):
+        """Take an entry of a backend server."""
+        registration = Registration(
+            service=service,
+            address=f"10.0.0.1:{offset + 1000}",
+            zone=zone,
+            slots=slots,
+            is_draining=draining,
+            born=born,
+        )
+        return self._read(name, offset, registration)
+
+    def remove(self, name, *, offset):
+        """Take the removal of an entry."""
+        return self._read(name, offset, None)
+
+    def hear_peer(self, name="front-2", zone=ZONE, in_flight=None):
+        """Hear a heartbeat."""
+        heard = HeartbeatHeard(
+            now=self.now,
+            peer=name,
+            incarnation="a",
+            address="10.0.0.2:7200",
+            zone=zone,
+            is_leaving=False,
+            in_flight=in_flight or {},
+        )
+        return self.tell(heard)
+
+    def tell(self, message):
+        """Run a message through the control pipeline."""
+        return list(self._control(message))
+
+    def tick(self):
+        """Let time pass in both pipelines; returns the orders of both."""
+        ticked = control.ControlTicked(now=self.now, wall=self.now)
+        return [*self.tell(ticked), *self.run(messages.Ticked(now=self.now))]
+
+    def run(self, message):
+        """Run a message through the request pipeline."""
+        return list(self._decide(message))
+
+    def arrive(self, path="/read/x", timeout=0.5):
+        """Let a request arrive; returns its id and the orders."""
+        self.next_id += 1
+        call = messages.Call(
+            id=self.next_id,
+            method="GET",
+            host="h",
+            path=path,
+            timeout=timeout,
+            request_id=f"request-{self.next_id}",
+        )
+        arrived = messages.CallArrived(now=self.now, wall=self.now, call=call)
+        return self.next_id, self.run(arrived)
+
+    def answer(self, call_id, server, *, status=200, ran=True, load=None, kept="answer"):
+        """Let a backend server answer."""
+        return self.run(
+            messages.Answered(
+                now=self.now,
+                wall=self.now,
+                call_id=call_id,
+                server=server,
+                status=status,
+                ran=ran,
+                report=messages.ServerReport(load=load),
+                kept=kept,
+            )
+        )
+
+    def names(self):
+        """Name the backend servers that may get work."""
+        states = self.state.servers.states.values()
+        return sorted(each.server.name for each in states if each.is_eligible(self.now))
+
+    def _read(self, name, offset, registration):
+        read = RegistrationRead(now=self.now, name=name, offset=offset, registration=registration)
+        return self.tell(read)
+
+
+def find(orders, kind):
+    """Find the first order of a kind, or None."""
+    return next((order for order in orders if isinstance(order, kind)), None)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -31,6 +31,8 @@
 from dotterelgate_daemon.stopping import GracefulStop
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dotterelgate_border.handover import PeerMessage
     from dotterelgate_border.settings import DaemonSettings
     from dotterelgate_daemon.foundation import Foundation
@@ -61,15 +63,20 @@
     vms: VmListClient
 
 
-def build_daemon(settings: DaemonSettings, lines: LineBuffer | None = None) -> Daemon:
+def build_daemon(
+    settings: DaemonSettings,
+    lines: LineBuffer | None = None,
+    reload: Callable[[], None] = lambda: None,
+) -> Daemon:
     """Build a daemon; it listens already but has read nothing.
 
     :param lines: log lines that wait to be written
+    :param reload: called on SIGHUP
     :raises OSError: when an address cannot be bound
     """
     parts = _build_parts(settings, lines)
     base = parts.base
-    daemon = Daemon(lines=lines)
+    daemon = Daemon(timers=base.timers, lines=lines, reload=reload)
     daemon.begin_stop = GracefulStop(
         linger=settings.stop_linger,
         limit=settings.stop_limit,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -36,6 +36,9 @@
 __all__ = ["CallerGate"]
 
 PIPELINE_LIMIT = 8
+# A request sent on a connection that was accepted or answered just now may not have
+# arrived yet; closing earlier would cut it off.
+CROSSING_SECONDS = 0.3
 
 
 @dataclass(kw_only=True)
@@ -126,7 +129,9 @@
         )
 
     def close_if_idle(self) -> None:
-        """Close unless a request is in progress."""
+        """Close unless a request is in progress or may still be on its way."""
+        if time.monotonic() - self.idle_since < CROSSING_SECONDS:
+            return
         if self._current is None and self._arriving is None:
             self._stream.close_when_sent()
             self._gate.connections.discard(self)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/command.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/command.py
@@ -12,6 +12,7 @@
 from dotterelgate_border.settings import DaemonSettings
 from dotterelgate_daemon.assembly import build_daemon
 from dotterelgate_daemon.journal import set_up_logging
+from dotterelgate_daemon.reloading import make_reload
 
 __all__ = ["main"]
 
@@ -40,7 +41,7 @@
         return
     lines = set_up_logging(log_level)
     try:
-        daemon = build_daemon(checked, lines)
+        daemon = build_daemon(checked, lines, make_reload(settings, checked))
     except Exception as error:
         _fail([f"{settings}: an address cannot be used: {error}; change it or free it"])
     daemon.run_to_end()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/running.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/running.py
@@ -5,32 +5,38 @@
 import signal
 from typing import TYPE_CHECKING
 
-import structlog
 from circuits import Component, handler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from dotterelgate_daemon.journal import LineBuffer
+    from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["Daemon"]
 
-logger = structlog.get_logger("running")
-
 
 class Daemon(Component):
     """Root component; runs until it is told to stop.
 
     :param lines: log lines that wait to be written
+    :param reload: called on SIGHUP, on the loop
     """
 
     channel = "daemon"
 
-    def __init__(self, *, lines: LineBuffer | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        lines: LineBuffer | None = None,
+        reload: Callable[[], None] = lambda: None,
+    ) -> None:
         super().__init__()
         self.begin_stop: Callable[[], None] = self.stop
-        self.reload: Callable[[], None] = lambda: None
         self._lines = lines
+        # Without a handler the signal would end the process.
+        signal.signal(signal.SIGHUP, lambda signo, frame: timers.call_after(delay=0.0, call=reload))
 
     def run_to_end(self) -> None:
         """Run the loop, then write out the last lines."""
@@ -43,6 +49,3 @@
         if signo in (signal.SIGTERM, signal.SIGINT):
             event.stop()
             self.begin_stop()
-        elif signo == signal.SIGHUP:
-            event.stop()
-            self.reload()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -61,11 +61,13 @@
     calls: StoreCalls,
     dialect: Dialect,
     lines: LineBuffer | None = None,
+    reload: Callable[[], None] = lambda: None,
 ) -> Daemon:
     """Build a daemon; it listens already but has read nothing.
 
     :param calls: how the store is asked
     :param dialect: how the system's own headers are read and written
+    :param reload: called on SIGHUP
     :raises OSError: when an address cannot be bound
     """
     incarnation = uuid.uuid4().hex[:12]
@@ -78,7 +80,7 @@
         lines=lines,
     )
     control = _connect_control(settings, calls, dialect, base, incarnation)
-    daemon = Daemon(lines=lines)
+    daemon = Daemon(timers=base.timers, lines=lines, reload=reload)
     daemon.begin_stop = GracefulStop(
         linger=settings.stop_linger,
         limit=settings.stop_limit,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -202,7 +202,9 @@
         return sock
 
     def stop_listening(self, sock: socket.socket) -> None:
-        """Close a listener; accepted connections stay."""
+        """Close a listener; connections that are established already stay."""
+        if sock in self._listeners:
+            self._accept(sock)
         if self._listeners.pop(sock, None) is not None:
             self._poller.discard(sock)
             sock.close()
