Judge a slow choice by its time alone; tests for the decisions and the platform's path

A service whose backend servers all reject part of their requests was refused untried: the cost of failures counted as time when the call decided whether to wait (found by the budget scenario of front_decisions, which failed first). The platform's stand-ins lie beside the adapter.

--- a/Makefile
+++ b/Makefile
@@ -20,13 +20,13 @@
 	$(BIN)/python features/run.py
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages features
-	$(BIN)/ruff check packages features
+	$(BIN)/ruff format --check packages features platform
+	$(BIN)/ruff check packages features platform
 	$(BIN)/mypy
 
 format: $(STAMP)
-	$(BIN)/ruff format packages features
-	$(BIN)/ruff check --fix packages features
+	$(BIN)/ruff format packages features platform
+	$(BIN)/ruff check --fix packages features platform
 
 bench: $(STAMP)
 	$(BIN)/python -m dotterelgate_bench.policies
--- /dev/null
+++ b/features/platform_path.feature
@@ -0,0 +1,44 @@
+Feature: The platform's path through separate processes
+
+  Scenario: A request is served, and its id leads through the daemon's log
+    Given the platform with 3 backend servers and 2 daemons
+    When a request goes through front-1
+    Then a registered backend server ran it once
+    And the log of front-1 tells where it was sent and how it ended
+
+  Scenario: Configurations come into force everywhere, broken and older ones change nothing
+    Given the platform with 2 backend servers and 2 daemons
+    When version 12 with the prefix /new/ is written
+    Then both daemons serve /new/x within 2 seconds
+    When bytes that are no configuration are written
+    And version 11 with the prefix /old/ is written
+    And 1 seconds go by
+    Then both daemons still serve /new/x and answer /old/x with 404
+
+  Scenario: The store is down and then forgets its history
+    Given the platform with 2 backend servers and 2 daemons
+    When the store is down for 3 seconds
+    Then requests were served all the while
+    When the store forgets its history and version 20 with the prefix /later/ is written
+    Then both daemons serve /later/x within 4 seconds
+
+  Scenario: A backend server that leaves gets no new work
+    Given the platform with 3 backend servers and 2 daemons
+    When i-1 says that it leaves
+    And 2 seconds go by
+    Then i-1 runs none of 40 requests
+
+  Scenario: A daemon that knows no configuration says so and is not ready
+    Given the platform with 1 backend servers and no configuration
+    When front-1 starts
+    Then a request through front-1 is answered 503 and front-1 is not ready
+
+  Scenario: A planned stop answers what is in progress and ends by itself
+    Given the platform with 2 backend servers and 2 daemons
+    When front-1 is told to stop while requests come through it
+    Then every request was answered by a backend server and front-1 ended within its limit
+
+  Scenario: Settings that are not valid end the start with file, key and cure
+    Given the platform with 1 backend servers and no configuration
+    When front-1 starts with a broken address
+    Then it ends and names the file, the key and the value
--- a/features/run.py
+++ b/features/run.py
@@ -13,8 +13,8 @@
 BIN = Path(sys.executable).parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 CHECKS = {
-    "ruff format": ("ruff", "format", "--check", "packages", "features"),
-    "ruff check": ("ruff", "check", "packages", "features"),
+    "ruff format": ("ruff", "format", "--check", "packages", "features", "platform"),
+    "ruff check": ("ruff", "check", "packages", "features", "platform"),
     "mypy": ("mypy",),
 }
 
--- /dev/null
+++ b/features/steps/front_steps.py
@@ -0,0 +1,365 @@
+"""Steps about the decisions of a daemon that follows a keyed store."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from subjects.front import Front, find
+
+from dotterelgate_core import codes, messages
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.control_messages import Probe, ProbeAnswered
+from dotterelgate_core.loads import LoadReport
+from dotterelgate_core.reading import (
+    NewsHeard,
+    ReadRegistry,
+    RegistryReadEnded,
+    RegistryReadFailed,
+)
+
+TICK_SECONDS = 0.02
+NOT_FULL = LoadReport(running=1, waiting=0, slots=3)
+
+
+@given("a front with version {version:d} in force")
+def start_with_version(context, version):
+    context.front = Front()
+    context.front.configure(version)
+
+
+@when("version {version:d} is read")
+def read_version(context, version):
+    context.front.configure(version)
+
+
+@then("version {version:d} is in force")
+def check_version(context, version):
+    assert context.front.state.configuration.current.revision == version
+
+
+@given("a front with the entries {first} at {one:d} and {second} at {two:d}")
+def start_with_entries(context, first, one, second, two):
+    context.front = Front()
+    context.front.configure()
+    context.front.register(first, offset=one)
+    context.front.register(second, offset=two)
+
+
+@given("a front with {count:d} entries")
+def start_with_many(context, count):
+    context.front = Front()
+    context.front.configure()
+    for number in range(count):
+        context.front.register(f"i-{number}", offset=number)
+
+
+@given("a front with no entries")
+def start_empty(context):
+    context.front = Front()
+    context.front.configure()
+
+
+@when("{name} says at {offset:d} that it leaves")
+def leave(context, name, offset):
+    context.front.register(name, offset=offset, draining=True)
+
+
+@when("the entry of {name} at {offset:d} is read late")
+def read_late(context, name, offset):
+    context.front.register(name, offset=offset)
+
+
+@when("the entry of {name} is removed at {offset:d}")
+def remove(context, name, offset):
+    context.front.remove(name, offset=offset)
+
+
+@when("the store was away and returns")
+def return_store(context):
+    for _ in range(2):
+        failed = RegistryReadFailed(now=context.front.now, reason="no answer")
+        context.front.tell(failed)
+    context.front.now += 1.0
+    context.front.tell(RegistryReadEnded(now=context.front.now))
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    context.front.now += seconds
+    context.front.tick()
+
+
+@when("{name} is read again at {offset:d}")
+def read_again(context, name, offset):
+    context.front.register(name, offset=offset)
+
+
+@given("{name} failed often")
+def fail_often(context, name):
+    server = context.front.state.servers.states[name]
+    for _ in range(5):
+        server.note_failure(context.front.now)
+        server.view.note_outcome(failed=True, now=context.front.now)
+
+
+@when("{name} is read again at {offset:d} with a later start")
+def read_restarted(context, name, offset):
+    context.front.register(name, offset=offset, born=2)
+
+
+@then("nothing is held against {name}")
+def check_clean(context, name):
+    server = context.front.state.servers.states[name]
+    assert server.failures == 0 and server.view.failing == 0.0
+    assert name in context.front.names()
+
+
+@then("only {name} may get work")
+def check_only(context, name):
+    assert context.front.names() == [name], context.front.names()
+
+
+@then("{first} and {second} may get work")
+def check_both(context, first, second):
+    assert context.front.names() == [first, second], context.front.names()
+
+
+@given("a front whose split route sends {most:d} in 100 to a and {rest:d} to b")
+def start_split(context, most, rest):
+    context.front = Front()
+    context.front.configure(services=("a", "b"), split=(("a", most), ("b", rest)))
+    context.front.register("i-a", offset=1, service="a", slots=200)
+    context.front.register("i-b", offset=2, service="b", slots=200)
+
+
+@when("{count:d} requests of the split route come")
+def send_split(context, count):
+    orders = [context.front.arrive("/split/x")[1] for _ in range(count)]
+    context.sent = [find(each, messages.Dispatch).server.name for each in orders]
+
+
+@then("between {low:d} and {high:d} of them went to a")
+def check_shares(context, low, high):
+    assert low <= context.sent.count("i-a") <= high, context.sent.count("i-a")
+
+
+def fail(front, call_id, server, *, sent):
+    """Let a dispatched request's connection break."""
+    return front.run(
+        messages.DispatchFailed(
+            now=front.now,
+            call_id=call_id,
+            server=server,
+            sent=sent,
+            passed_on=False,
+            refusal=Refusal(codes.ANSWER_LOST, "the connection broke"),
+        )
+    )
+
+
+OUTCOMES = {
+    "its connection breaks after it was sent": lambda front, call, server: fail(
+        front, call, server, sent=True
+    ),
+    "its connection breaks before it was sent": lambda front, call, server: fail(
+        front, call, server, sent=False
+    ),
+    "its backend server says not executed": lambda front, call, server: front.answer(
+        call, server, status=503, ran=False, load=NOT_FULL
+    ),
+    "its backend server answers 500": lambda front, call, server: front.answer(
+        call, server, status=500
+    ),
+}
+
+
+@when("a {method} is dispatched and {outcome}")
+def dispatch(context, method, outcome):
+    call_id, orders = context.front.arrive(f"/{method}/x")
+    context.first = find(orders, messages.Dispatch).server.name
+    context.orders = OUTCOMES[outcome](context.front, call_id, context.first)
+
+
+@then("the request is {end}")
+def check_end(context, end):
+    again = find(context.orders, messages.Dispatch)
+    refused = find(context.orders, messages.CallRefused)
+    if end == "dispatched again":
+        assert again is not None and again.server.name != context.first, context.orders
+    elif end == "passed on":
+        assert again is None and find(context.orders, messages.Relay), context.orders
+    else:
+        assert again is None and refused.refusal.code.status == 502, context.orders
+
+
+@when("{count:d} reads are all rejected by backend servers that are not full")
+def reject_all(context, count):
+    context.again = 0
+    context.refusals = []
+    for _ in range(count):
+        call_id, orders = context.front.arrive()
+        dispatched = find(orders, messages.Dispatch)
+        sent = 0
+        while dispatched is not None:
+            sent += 1
+            name = dispatched.server.name
+            orders = context.front.answer(call_id, name, status=503, ran=False, load=NOT_FULL)
+            dispatched = find(orders, messages.Dispatch)
+        context.again += max(0, sent - 1)
+        context.refusals.append(find(orders, messages.CallRefused).refusal)
+        context.front.now += 0.01
+
+
+@then("at most {count:d} of them were sent again")
+def check_again(context, count):
+    assert 0 < context.again <= count, context.again
+
+
+@then("all that are refused are told when to come back, at most a third of their time later")
+def check_advice(context):
+    assert all(0 < each.retry_after <= 0.5 / 3 for each in context.refusals)
+    assert {each.outcome.value for each in context.refusals} == {"not-run"}
+
+
+@when("a read fails at each backend server that it is sent to")
+def fail_everywhere(context):
+    call_id, orders = context.front.arrive()
+    context.count = 0
+    while find(orders, messages.Dispatch) is not None:
+        context.count += 1
+        name = find(orders, messages.Dispatch).server.name
+        orders = fail(context.front, call_id, name, sent=True)
+
+
+@then("it reached {count:d} backend servers")
+def check_count(context, count):
+    assert context.count == count, context.count
+
+
+@when("the callers of a read and a write leave after the dispatch")
+def leave_both(context):
+    context.left = {}
+    for method in ("read", "write"):
+        call_id, _ = context.front.arrive(f"/{method}/x")
+        left = messages.CallerLeft(now=context.front.now, call_id=call_id)
+        context.left[method] = context.front.run(left)
+
+
+@then("the read is cancelled and the write is not")
+def check_cancelled(context):
+    assert find(context.left["read"], messages.Cancel) is not None
+    assert find(context.left["write"], messages.Cancel) is None
+
+
+@when("{count:d} reads come at once")
+def come_at_once(context, count):
+    context.refused = [find(context.front.arrive()[1], messages.CallRefused) for _ in range(count)]
+
+
+@then("each is refused with 503 at once")
+def check_refused(context):
+    assert {each.refusal.code.status for each in context.refused} == {503}
+
+
+@then("their times to come back differ by at least {spread:d} ms")
+def check_spread(context, spread):
+    times = [each.refusal.retry_after for each in context.refused]
+    assert 1000 * (max(times) - min(times)) >= spread, times
+
+
+@given("{count:d} fronts of a zone that hear each other")
+def start_fronts(context, count):
+    context.fronts = {f"front-{n}": Front(name=f"front-{n}") for n in range(1, count + 1)}
+    context.reads = dict.fromkeys(context.fronts, 0)
+
+
+def advance(fronts, reads, seconds, silent=()):
+    """Let time pass; reads succeed at once and their news reach all that are not silent."""
+    steps = round(seconds / TICK_SECONDS)
+    for step in range(steps):
+        for name, front in fronts.items():
+            if name in silent:
+                continue
+            front.now += TICK_SECONDS
+            if step % 12 == 0:
+                for other in fronts:
+                    if other not in (name, *silent):
+                        front.hear_peer(other)
+            if find(front.tick(), ReadRegistry) is None:
+                continue
+            reads[name] += 1
+            front.tell(RegistryReadEnded(now=front.now))
+            for other, each in fronts.items():
+                if other not in (name, *silent):
+                    each.tell(NewsHeard(now=each.now, returned_at=float("-inf")))
+
+
+@when("{seconds:d} s pass with news reaching all")
+def pass_with_news(context, seconds):
+    advance(context.fronts, context.reads, 1.0)
+    context.reads = dict.fromkeys(context.fronts, 0)
+    advance(context.fronts, context.reads, seconds)
+
+
+@then("one of them read the registry, between {low:d} and {high:d} times")
+def check_reader(context, low, high):
+    readers = [name for name, count in context.reads.items() if count]
+    assert len(readers) == 1, context.reads
+    assert low <= context.reads[readers[0]] <= high, context.reads
+
+
+@when("the reader falls silent")
+def silence(context):
+    context.silent = max(context.reads, key=context.reads.get)
+    context.reads = dict.fromkeys(context.fronts, 0)
+
+
+@then("another reads within {seconds:g} s")
+def check_takeover(context, seconds):
+    advance(context.fronts, context.reads, seconds, silent=(context.silent,))
+    assert sum(context.reads.values()) > 0, context.reads
+
+
+def count_probes(context, seconds, rate):
+    """Let time pass with requests; returns the probes of each backend server."""
+    front = context.front
+    counts = dict.fromkeys(front.state.servers.states, 0)
+    for step in range(round(seconds / TICK_SECONDS)):
+        front.now += TICK_SECONDS
+        if rate and step % round(1 / rate / TICK_SECONDS) == 0:
+            call_id, orders = front.arrive()
+            front.answer(call_id, find(orders, messages.Dispatch).server.name)
+        for order in front.tick():
+            if isinstance(order, Probe):
+                counts[order.server.name] += 1
+                front.tell(
+                    ProbeAnswered(
+                        now=front.now,
+                        wall=front.now,
+                        service="s",
+                        server=order.server.name,
+                        answered=True,
+                        draining=False,
+                        load=NOT_FULL,
+                    )
+                )
+    return counts
+
+
+@when("{seconds:d} s pass without requests")
+def pass_idle(context, seconds):
+    context.probes = count_probes(context, seconds, 0)
+
+
+@when("{seconds:d} s pass with {rate:d} requests a second")
+def pass_busy(context, seconds, rate):
+    context.probes = count_probes(context, seconds, rate)
+
+
+@then("each backend server was probed at most {count:d} times")
+def check_idle(context, count):
+    assert max(context.probes.values()) <= count, context.probes
+
+
+@then("each backend server was probed between {low:d} and {high:d} times")
+def check_busy(context, low, high):
+    assert all(low <= count <= high for count in context.probes.values()), context.probes
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,200 @@
+"""Steps about the platform's path."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+
+from behave import given, then, when
+from subjects.platform_path import PlatformPath
+
+from dotterelgate_bench.fleet import wait_until
+
+DAEMONS = ("front-1", "front-2")
+
+
+def start(context, servers):
+    context.platform = PlatformPath()
+    context.endings.append(context.platform.stop)
+    context.platform.start(servers=servers)
+
+
+@given("the platform with {servers:d} backend servers and 2 daemons")
+def start_platform(context, servers):
+    start(context, servers)
+    context.platform.publish(10, "/orders/")
+    for name in DAEMONS:
+        context.platform.start_daemon(name)
+    for name in DAEMONS:
+        context.platform.wait_ready(name)
+
+
+@given("the platform with {servers:d} backend servers and no configuration")
+def start_without(context, servers):
+    start(context, servers)
+
+
+@when("a request goes through front-1")
+def send(context):
+    context.answer = context.platform.request("front-1", "/orders/a?b=c", "0123abcd")
+
+
+@then("a registered backend server ran it once")
+def check_ran(context):
+    assert context.answer.status_code == 200, context.answer
+    assert context.answer.headers["server-stamp"], context.answer.headers
+    assert context.answer.headers["request-id"] == "0123abcd"
+    assert context.answer.text.endswith("POST /orders/a?b=c"), context.answer.text
+    ran = [each for ids in context.platform.read_ledgers().values() for each in ids]
+    assert ran.count("0123abcd") == 1, ran
+
+
+@then("the log of front-1 tells where it was sent and how it ended")
+def check_log(context):
+    def list_events():
+        lines = context.platform.read_log("front-1")
+        return [line["event"] for line in lines if line.get("request") == "0123abcd"]
+
+    wait_until(lambda: len(list_events()) >= 2, seconds=3, what="the lines are written")
+    events = list_events()
+    assert any(event.startswith("binding: sent to i-") for event in events), events
+    assert any(event.startswith("gateway: answered by i-") for event in events), events
+
+
+@when("version {version:d} with the prefix {prefix} is written")
+def publish(context, version, prefix):
+    context.platform.publish(version, prefix)
+
+
+@when("bytes that are no configuration are written")
+def publish_broken(context):
+    context.platform.write(b'{"config-version": 99, "routes": 5}')
+    context.platform.write(b"\xff\x00")
+
+
+@when("{seconds:d} seconds go by")
+def wait(context, seconds):
+    time.sleep(seconds)
+
+
+@then("both daemons serve {path} within {seconds:d} seconds")
+def check_in_force(context, path, seconds):
+    for name in DAEMONS:
+        context.platform.wait_for_status(name, path, 200, seconds)
+
+
+@then("both daemons still serve {path} and answer {other} with 404")
+def check_still(context, path, other):
+    for number, name in enumerate(DAEMONS):
+        assert context.platform.request(name, path, f"s{number}").status_code == 200
+        assert context.platform.request(name, other, f"o{number}").status_code == 404
+
+
+@when("the store is down for {seconds:d} seconds")
+def take_down(context, seconds):
+    context.platform.ask_store("/faults", {"down": True})
+    context.statuses = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        request_id = f"d{time.monotonic_ns()}"
+        answer = context.platform.request("front-1", "/orders/x", request_id)
+        context.statuses.append(answer.status_code)
+    context.platform.ask_store("/faults", {"down": False})
+
+
+@then("requests were served all the while")
+def check_served(context):
+    assert len(context.statuses) > 10 and set(context.statuses) == {200}, context.statuses
+
+
+@when("the store forgets its history and version {version:d} with the prefix {prefix} is written")
+def forget(context, version, prefix):
+    context.platform.ask_store("/forget", {})
+    context.platform.publish(version, prefix)
+
+
+@when("{server} says that it leaves")
+def drain(context, server):
+    context.platform.drain(server)
+
+
+@then("{server} runs none of {count:d} requests")
+def check_not_run(context, server, count):
+    before = len(context.platform.read_ledgers()[server])
+    for number in range(count):
+        answer = context.platform.request(DAEMONS[number % 2], "/orders/x", f"l{number}")
+        assert answer.status_code == 200, answer
+    assert len(context.platform.read_ledgers()[server]) == before
+
+
+@when("front-1 starts")
+def start_one(context):
+    context.platform.start_daemon("front-1")
+
+
+@then("a request through front-1 is answered 503 and front-1 is not ready")
+def check_unready(context):
+    def answers() -> bool:
+        try:
+            answer = context.platform.request("front-1", "/orders/x", "u1")
+        except OSError:
+            return False
+        except Exception as error:
+            assert "connect" in str(error).lower(), error
+            return False
+        return answer.status_code == 503
+
+    wait_until(answers, seconds=10, what="front-1 answers 503")
+    assert not context.platform.is_ready("front-1")
+
+
+@when("front-1 is told to stop while requests come through it")
+def stop_under_load(context):
+    context.statuses = []
+    stopping = threading.Event()
+
+    def call(worker):
+        number = 0
+        while not stopping.is_set():
+            number += 1
+            answer = context.platform.request("front-1", "/orders/x", f"p{worker}-{number}")
+            context.statuses.append(answer.status_code)
+
+    workers = [threading.Thread(target=call, args=(n,)) for n in range(4)]
+    for worker in workers:
+        worker.start()
+    time.sleep(0.5)
+    context.platform.daemons["front-1"].send(signal.SIGTERM)
+    # The daemon takes callers for its linger of 0.5 s.
+    time.sleep(0.2)
+    stopping.set()
+    for worker in workers:
+        worker.join()
+
+
+@then("every request was answered by a backend server and front-1 ended within its limit")
+def check_stopped(context):
+    assert len(context.statuses) > 10 and set(context.statuses) == {200}, context.statuses
+    process = context.platform.daemons["front-1"]
+    wait_until(process.has_ended, seconds=5, what="front-1 ends")
+
+
+@when("front-1 starts with a broken address")
+def start_broken(context):
+    platform = context.platform
+    platform.start_daemon("front-1")
+    platform.daemons["front-1"].kill()
+    settings = {**platform.settings["front-1"], "store": "nowhere"}
+    (platform.folder / "front-1.json").write_text(json.dumps(settings), encoding="utf-8")
+    platform.daemons["front-1"].start()
+
+
+@then("it ends and names the file, the key and the value")
+def check_named(context):
+    process = context.platform.daemons["front-1"]
+    wait_until(process.has_ended, seconds=10, what="front-1 ends")
+    text = process.log_path.read_text(encoding="utf-8")
+    assert "front-1.json: store: must be an IPv4 number and a port" in text, text
+    assert "'nowhere'" in text, text
--- /dev/null
+++ b/features/subjects/platform_path.py
@@ -0,0 +1,150 @@
+"""Subject: daemons on the platform as separate processes, beside its stand-ins."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+
+from dotterelgate_bench.fleet import Process, find_free_address, wait_until
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+PLATFORM = ROOT / "platform"
+STORE_TOPIC = "keyed.op"
+HOST = "orders.example"
+START_SECONDS = 20.0
+
+
+@dataclass
+class PlatformPath:
+    """A store, backend servers and daemons on loopback."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="platform-")))
+    daemons: dict[str, Process] = field(default_factory=dict)
+    settings: dict[str, dict] = field(default_factory=dict)
+
+    def start(self, *, servers: int) -> None:
+        """Start the store and the backend servers."""
+        self.store = find_free_address()
+        self.control = find_free_address()
+        addresses = [find_free_address() for _ in range(servers)]
+        words = [sys.executable, "-m", "stand_ins", self.store, self.control, *addresses]
+        self.stand_ins = self._run("stand-ins", self.store, words, {})
+        wait_until(self._is_up, seconds=START_SECONDS, what="the stand-ins serve")
+
+    def start_daemon(self, name: str) -> None:
+        """Start one daemon and wait until it says that it is ready."""
+        settings = {
+            "name": name,
+            "zone": "north",
+            "callers": find_free_address(),
+            "endpoint": find_free_address(),
+            "peers": find_free_address(),
+            "metrics": find_free_address(),
+            "store": self.store,
+            "stop_linger": 0.5,
+            "stop_limit": 5.0,
+            "retry_share": 0.2,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self.settings[name] = settings
+        words = [sys.executable, str(PLATFORM / "dotterelgated.py")]
+        variables = {"DOTTERELGATE_NODE_FILE": str(path)}
+        self.daemons[name] = self._run(name, settings["callers"], words, variables)
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a daemon answers its status check with 200."""
+        wait_until(lambda: self.is_ready(name), seconds=START_SECONDS, what=f"{name} is ready")
+
+    def is_ready(self, name: str) -> bool:
+        """Ask a daemon whether it is ready."""
+        try:
+            url = f"http://{self.settings[name]['endpoint']}/health"
+            return httpx.get(url, timeout=1).status_code == httpx.codes.OK
+        except httpx.HTTPError:
+            return False
+
+    def publish(self, version: int, prefix: str) -> None:
+        """Write a configuration whose only route has a prefix."""
+        document = {
+            "config-version": version,
+            "routes": [
+                {
+                    "name": "r",
+                    "hostname": HOST,
+                    "path-prefix": prefix,
+                    "route-type": "unsafe",
+                    "timeout": 2.0,
+                    "target-latency": 0.5,
+                    "priority": 1,
+                    "service": "stock",
+                    "max-attempts": 2,
+                }
+            ],
+            "services": [{"name": "stock", "health-path": "/health", "max-conns": 50}],
+        }
+        self.write(json.dumps(document).encode("utf-8"))
+
+    def write(self, value: bytes) -> None:
+        """Write the operator's record as it is."""
+        url = f"http://{self.control}/write?topic={STORE_TOPIC}&key=config"
+        httpx.post(url, content=value).raise_for_status()
+
+    def drain(self, name: str) -> None:
+        """Let a backend server say that it leaves."""
+        httpx.post(f"http://{self.control}/drain?name={name}").raise_for_status()
+
+    def ask_store(self, path: str, document: dict) -> None:
+        """Set the store's faults or let it forget."""
+        httpx.post(f"http://{self.store}{path}", json=document).raise_for_status()
+
+    def read_ledgers(self) -> dict[str, list[str]]:
+        """Read which request ids each backend server ran."""
+        return httpx.get(f"http://{self.control}/ledgers").json()
+
+    def request(self, name: str, path: str, request_id: str) -> httpx.Response:
+        """Send one request through a daemon."""
+        headers = {"host": HOST, "request-id": request_id, "request-deadline-ms": "2000"}
+        url = f"http://{self.settings[name]['callers']}{path}"
+        return httpx.post(url, headers=headers, content=b"x", timeout=5)
+
+    def wait_for_status(self, name: str, path: str, status: int, seconds: float) -> None:
+        """Wait until a daemon answers a path with a status."""
+        wait_until(
+            lambda: self.request(name, path, f"w{time.monotonic_ns()}").status_code == status,
+            seconds=seconds,
+            what=f"{path} is answered {status} by {name}",
+        )
+
+    def read_log(self, name: str) -> list[dict]:
+        """Read a daemon's log lines."""
+        lines = self.daemons[name].log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def stop(self) -> None:
+        """End all processes that were started."""
+        for process in [*self.daemons.values(), self.stand_ins]:
+            process.kill()
+
+    def _is_up(self) -> bool:
+        try:
+            httpx.get(f"http://{self.control}/ledgers", timeout=1)
+        except httpx.HTTPError:
+            return False
+        return True
+
+    def _run(self, name: str, address: str, words: list[str], variables: dict) -> Process:
+        os.environ["PYTHONPATH"] = str(PLATFORM)
+        os.environ.update(variables)
+        process = Process(
+            name=name, address=address, arguments=words, log_path=self.folder / f"{name}.log"
+        )
+        process.start()
+        return process
--- a/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
@@ -11,7 +11,7 @@
     from dotterelgate_core.calls import CallState
     from dotterelgate_core.servers import ServerState
 
-__all__ = ["estimate_factor", "make_soonest"]
+__all__ = ["estimate_factor", "make_soonest", "weigh_detours"]
 
 # Share of its slots up to which a backend server keeps its speed.
 CALM_SHARE = 0.8
@@ -51,13 +51,14 @@
     def choose(states: Sequence[ServerState], call: CallState, now: float) -> ServerState | None:
         usual = find_usual_slowdown(states)
         best: ServerState | None = None
-        least = float("inf")
+        least = best_factor = float("inf")
         for state in states:
-            factor = estimate_factor(state, now, usual=usual, zone=zone)
-            factor *= 1.0 + JITTER_SHARE * random.random()
-            if factor < least:
-                best, least = state, factor
-        return best if _is_good_enough(call, least, now) else None
+            factor = estimate_factor(state, now, usual=usual)
+            cost = factor * weigh_detours(state, now, zone=zone)
+            cost *= 1.0 + JITTER_SHARE * random.random()
+            if cost < least:
+                best, least, best_factor = state, cost, factor
+        return best if _is_good_enough(call, best_factor, now) else None
 
     return choose
 
@@ -83,11 +84,19 @@
     return sum(reports) / len(reports) if reports else 1.0
 
 
-def estimate_factor(state: ServerState, now: float, *, usual: float, zone: str) -> float:
+def weigh_detours(state: ServerState, now: float, *, zone: str) -> float:
+    """Weigh what a choice costs besides its time: bytes between zones, and failures.
+
+    :param zone: availability zone of this daemon
+    """
+    weight = 1.0 + FAILURE_COST * state.view.estimate_failing(now)
+    return weight * OTHER_ZONE_FACTOR if zone and state.server.zone != zone else weight
+
+
+def estimate_factor(state: ServerState, now: float, *, usual: float) -> float:
     """Estimate how many times longer than usual an answer takes.
 
     :param usual: mean slowdown over the pool
-    :param zone: availability zone of this daemon
     """
     load = state.count_load()
     slots = state.server.slots
@@ -99,6 +108,4 @@
         factor *= 1.0 + (load - slots + 1) / slots
     if now < state.cold_until:
         factor *= COLD_FACTOR
-    if zone and state.server.zone != zone:
-        factor *= OTHER_ZONE_FACTOR
-    return factor * (1.0 + FAILURE_COST * state.view.estimate_failing(now))
+    return factor
