--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -6,7 +6,7 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.messages import CallRouted, Settled, SlotFreed, Ticked
+from dotterelgate_core.messages import CallRouted, Decision, Settled, SlotFreed, Ticked
 from dotterelgate_core.returning import advise_return
 
 if TYPE_CHECKING:
@@ -47,7 +47,7 @@
         return [SlotFreed(now=routed.now, service=routed.service.name)]
     refusal = _refuse(state, routed, call_state)
     if refusal is not None:
-        return [Settled(now=routed.now, call_id=routed.call.id, refusal=refusal, ran=False)]
+        return _end_refused(state, call_state, refusal, routed.now)
     state.retries.find(routed.service.name, routed.service.retry_share).earn()
     call_state.admitted = True
     call_state.work = state.times.estimate(routed.service, routed.route)
@@ -114,5 +114,33 @@
         reason = f"no backend server came free within {waited * 1000:.0f} ms"
         advice = advise_return(call_state, now)
         refusal = Refusal(codes.OVERLOADED, reason, retry_after=advice)
-        messages.append(Settled(now=now, call_id=call_id, refusal=refusal, ran=False))
+        messages.extend(_end_refused(state, call_state, refusal, now))
     return messages
+
+
+def _end_refused(
+    state: DaemonState, call_state: CallState, refusal: Refusal, now: float
+) -> list[Message]:
+    service = call_state.routed.service.name
+    pool = state.servers.by_service.get(service, [])
+    current = state.configuration.current
+    facts = {
+        "route": call_state.routed.route.name or call_state.routed.route.prefix,
+        "revision": current.revision if current is not None else 0,
+        "waiting": state.waiting.find(service).count_waiting(),
+        "servers": len(pool),
+        "usable": sum(each.is_eligible(now) for each in pool),
+        "in_use": sum(each.count_load() for each in pool),
+        "daemons": state.sharers,
+    }
+    decision = Decision(
+        part="admission",
+        sentence=refusal.reason,
+        call_id=call_state.call.id,
+        service=service,
+        facts=facts,
+    )
+    return [
+        decision,
+        Settled(now=now, call_id=call_state.call.id, refusal=refusal, ran=False),
+    ]
