--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m dotterelgate_bench.demo
+	$(BIN)/python platform/demo.py
 
 test: $(STAMP)
 	$(BIN)/python features/run.py
--- a/features/environment.py
+++ b/features/environment.py
@@ -5,7 +5,9 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).parent))
+FEATURES = Path(__file__).resolve().parent
+sys.path.insert(0, str(FEATURES))
+sys.path.insert(0, str(FEATURES.parent / "platform"))
 
 
 def before_scenario(context, scenario):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,7 +8,7 @@
 import time
 
 from behave import given, then, when
-from subjects.platform_path import PlatformPath
+from stand_ins.fleet import PlatformPath
 
 from dotterelgate_bench.fleet import wait_until
 
