--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -7,15 +7,12 @@
 from dotterelgate_core.admission import make_admission_filter
 from dotterelgate_core.binding import make_binding_filter
 from dotterelgate_core.holding import make_holding_filter, make_key_settling_filter
+from dotterelgate_core.observing import make_observing_filter
 from dotterelgate_core.owning import make_owning_filter
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.policies import make_policies
 from dotterelgate_core.routes import make_route_filter
-from dotterelgate_core.settling import (
-    make_finishing_filter,
-    make_observing_filter,
-    make_settling_filter,
-)
+from dotterelgate_core.settling import make_finishing_filter, make_settling_filter
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/observing.py
@@ -0,0 +1,84 @@
+"""Filter that learns from each outcome what backend servers are like."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.control_messages import LeavingSeen
+from dotterelgate_core.learning import learn_from_answer
+from dotterelgate_core.messages import Answered, Decision, DispatchFailed, SlotFreed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelgate_core.calls import CallState
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["free_slot", "make_observing_filter"]
+
+
+def make_observing_filter(state: DaemonState) -> Filter:
+    """Make the filter that updates what is known of backend servers."""
+
+    def observe(message: Message) -> Iterable[Message]:
+        if isinstance(message, Answered):
+            return _observe_answer(state, message)
+        if isinstance(message, DispatchFailed):
+            return _observe_failure(state, message)
+        return (message,)
+
+    return observe
+
+
+def _observe_answer(state: DaemonState, message: Answered) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    server = state.servers.states.get(message.server)
+    if call_state is None:
+        return []
+    if server is not None:
+        if message.report.in_flight is not None:
+            server.reported = message.report.in_flight
+    seconds = message.now - call_state.sent_at
+    queue = state.waiting.find(call_state.routed.service.name)
+    if message.ran:
+        queue.note_time(seconds, long=call_state.routed.route.long)
+        if server is not None and not call_state.routed.route.long:
+            server.note_success(message.now, queue.cut_straggler(seconds))
+    free_slot(state, call_state, message.server)
+    if server is not None:
+        learn_from_answer(state, server, call_state, message, seconds)
+    freed = SlotFreed(now=message.now, service=call_state.routed.service.name)
+    if server is None or not message.report.draining or server.is_leaving_itself:
+        return [message, freed]
+    seen = LeavingSeen(server=message.server, is_leaving=True, wall=message.wall)
+    server.note_sign(is_leaving=True, wall=message.wall)
+    sentence = f"{message.server} leaves, says its answer; no new work for it"
+    decision = Decision(part="settling", sentence=sentence, target=message.server)
+    return [message, seen, decision, freed]
+
+
+def _observe_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
+    call_state = state.calls.states.get(message.call_id)
+    server = state.servers.states.get(message.server)
+    if call_state is None:
+        return []
+    if server is not None:
+        server.note_failure(message.now)
+        server.view.note_outcome(failed=True, now=message.now)
+        server.view.untold_failure = True
+    free_slot(state, call_state, message.server)
+    return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
+
+
+def free_slot(state: DaemonState, call_state: CallState, server_name: str) -> None:
+    """Note that a call no longer takes a slot of its backend server."""
+    if call_state.server != server_name:
+        return
+    call_state.server = None
+    state.servers.changed.add(server_name)
+    server = state.servers.states.get(server_name)
+    if server is not None and server.in_flight > 0:
+        server.in_flight -= 1
+    if call_state.routed.route.long:
+        state.waiting.find(call_state.routed.service.name).long_in_flight -= 1
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -1,4 +1,4 @@
-"""Filters that learn from each outcome and decide between answer and retry."""
+"""Filters that decide between answer and retry."""
 
 from __future__ import annotations
 
@@ -7,8 +7,6 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.control_messages import LeavingSeen
-from dotterelgate_core.learning import learn_from_answer
 from dotterelgate_core.messages import (
     Answered,
     CallEnded,
@@ -26,6 +24,7 @@
     SlotFreed,
     Ticked,
 )
+from dotterelgate_core.observing import free_slot
 from dotterelgate_core.returning import advise_return
 
 if TYPE_CHECKING:
@@ -35,7 +34,7 @@
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_finishing_filter", "make_observing_filter", "make_settling_filter"]
+__all__ = ["make_finishing_filter", "make_settling_filter"]
 
 
 FIRST_FAILURE_STATUS = 500
@@ -43,71 +42,6 @@
 UNSENT_LIMIT = 3
 
 
-def make_observing_filter(state: DaemonState) -> Filter:
-    """Make the filter that updates what is known of backend servers."""
-
-    def observe(message: Message) -> Iterable[Message]:
-        if isinstance(message, Answered):
-            return _observe_answer(state, message)
-        if isinstance(message, DispatchFailed):
-            return _observe_failure(state, message)
-        return (message,)
-
-    return observe
-
-
-def _observe_answer(state: DaemonState, message: Answered) -> list[Message]:
-    call_state = state.calls.states.get(message.call_id)
-    server = state.servers.states.get(message.server)
-    if call_state is None:
-        return []
-    if server is not None:
-        if message.report.in_flight is not None:
-            server.reported = message.report.in_flight
-    seconds = message.now - call_state.sent_at
-    queue = state.waiting.find(call_state.routed.service.name)
-    if message.ran:
-        queue.note_time(seconds, long=call_state.routed.route.long)
-        if server is not None and not call_state.routed.route.long:
-            server.note_success(message.now, queue.cut_straggler(seconds))
-    _free_slot(state, call_state, message.server)
-    if server is not None:
-        learn_from_answer(state, server, call_state, message, seconds)
-    freed = SlotFreed(now=message.now, service=call_state.routed.service.name)
-    if server is None or not message.report.draining or server.is_leaving_itself:
-        return [message, freed]
-    seen = LeavingSeen(server=message.server, is_leaving=True, wall=message.wall)
-    server.note_sign(is_leaving=True, wall=message.wall)
-    sentence = f"{message.server} leaves, says its answer; no new work for it"
-    decision = Decision(part="settling", sentence=sentence, target=message.server)
-    return [message, seen, decision, freed]
-
-
-def _observe_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
-    call_state = state.calls.states.get(message.call_id)
-    server = state.servers.states.get(message.server)
-    if call_state is None:
-        return []
-    if server is not None:
-        server.note_failure(message.now)
-        server.view.note_outcome(failed=True, now=message.now)
-        server.view.untold_failure = True
-    _free_slot(state, call_state, message.server)
-    return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
-
-
-def _free_slot(state: DaemonState, call_state: CallState, server_name: str) -> None:
-    if call_state.server != server_name:
-        return
-    call_state.server = None
-    state.servers.changed.add(server_name)
-    server = state.servers.states.get(server_name)
-    if server is not None and server.in_flight > 0:
-        server.in_flight -= 1
-    if call_state.routed.route.long:
-        state.waiting.find(call_state.routed.service.name).long_in_flight -= 1
-
-
 def make_settling_filter(state: DaemonState) -> Filter:
     """Make the filter from outcomes to settled or retried calls."""
 
@@ -323,7 +257,7 @@
     if call_state.server is not None or call_state.peer is not None:
         messages.append(Cancel(call_id=call_id, server=call_state.server, peer=call_state.peer))
     if call_state.server is not None:
-        _free_slot(state, call_state, call_state.server)
+        free_slot(state, call_state, call_state.server)
         messages.append(SlotFreed(now=now, service=call_state.routed.service.name))
     call_state.queued = False
     ran = None if messages else False
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
@@ -0,0 +1,150 @@
+"""Keeps the configuration in force, from the keyed store and from peers."""
+
+from __future__ import annotations
+
+import time
+import zlib
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dotterelgate_border.datagrams import ConfigurationNews, Heartbeat, NewsAsked
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.store_control import ConfigurationStored
+from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader
+from dotterelgate_daemon.store import StoreRecord, Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_border.datagrams import Datagram
+    from dotterelgate_core.pipes import Message
+    from dotterelgate_core.state import DaemonState
+    from dotterelgate_daemon.mesh import Mesh
+    from dotterelgate_daemon.platform import PlatformClient
+    from dotterelgate_daemon.store import StoreCalls
+    from dotterelgate_daemon.timers import TimerService
+
+__all__ = ["ConfigurationFollower"]
+
+logger = structlog.get_logger("store")
+
+# The store holds a read back until something is written, at most so long.
+WAIT_SECONDS = 25.0
+# A datagram holds at most 65,507 bytes; parts stay well below.
+PART_BYTES = 32_000
+ASK_SECONDS = 0.5
+
+
+class ConfigurationFollower:
+    """Keeps the configuration in force, from the store and from peers."""
+
+    def __init__(
+        self,
+        *,
+        state: DaemonState,
+        calls: StoreCalls,
+        client: PlatformClient,
+        timers: TimerService,
+        mesh: Mesh,
+        tell: Callable[[Message], None],
+    ) -> None:
+        self._state = state
+        self._calls = calls
+        self._timers = timers
+        self._mesh = mesh
+        self._tell = tell
+        self._document = b""
+        self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
+        self._asked_at = float("-inf")
+        self._dependency = Dependency(name="the configuration's topic")
+        self._reader = KeyedReader(
+            topic=Topic.CONFIGURATION,
+            calls=calls,
+            client=client,
+            take=self._take_records,
+            listed=lambda keys, end: None,
+            done=self._go_on,
+            failed=self._pause,
+        )
+
+    def start(self) -> None:
+        """Read the configuration, and follow it from then on."""
+        self._reader.read(wait=WAIT_SECONDS)
+
+    def hear(self, message: Datagram) -> None:
+        """Take a peer's message."""
+        if isinstance(message, Heartbeat):
+            self._compare(message)
+        elif isinstance(message, NewsAsked):
+            self._answer(message)
+        elif isinstance(message, ConfigurationNews):
+            self._take_part(message)
+
+    def _go_on(self) -> None:
+        self._dependency.note_answer()
+        self._reader.read(wait=WAIT_SECONDS)
+
+    def _pause(self, reason: str) -> None:
+        pause = self._dependency.note_failure(reason)
+        self._timers.call_after(delay=pause, call=self.start)
+
+    def _take_records(self, records: list[StoreRecord]) -> None:
+        for record in records:
+            if record.key == self._calls.configuration_key and record.value is not None:
+                self._take_document(record.value, "the store")
+
+    def _take_document(self, document: bytes, source: str) -> None:
+        configuration = self._calls.decode_configuration(document)
+        if isinstance(configuration, Refusal):
+            logger.warning(
+                "store: a configuration cannot be read; the one in force stays",
+                reason=configuration.reason,
+                source=source,
+            )
+            return
+        current = self._state.configuration.current
+        if current is None or configuration.revision > current.revision:
+            self._document = document
+        now = time.monotonic()
+        self._tell(ConfigurationStored(now=now, configuration=configuration, source=source))
+
+    def _compare(self, heartbeat: Heartbeat) -> None:
+        current = self._state.configuration.current
+        own = current.revision if current is not None else 0
+        now = time.monotonic()
+        if heartbeat.revision <= own or now - self._asked_at < ASK_SECONDS:
+            return
+        self._asked_at = now
+        question = NewsAsked(sender=self._state.name, address=self._mesh.address)
+        self._mesh.send_message(heartbeat.address, question)
+
+    def _answer(self, question: NewsAsked) -> None:
+        current = self._state.configuration.current
+        if current is None or not self._document:
+            return
+        body = zlib.compress(self._document)
+        parts = [body[at : at + PART_BYTES] for at in range(0, len(body), PART_BYTES)]
+        for number, part in enumerate(parts):
+            news = ConfigurationNews(
+                sender=self._state.name,
+                revision=current.revision,
+                part=number,
+                parts=len(parts),
+                body=part,
+            )
+            self._mesh.send_message(question.address, news)
+
+    def _take_part(self, news: ConfigurationNews) -> None:
+        key = (news.sender, news.revision)
+        parts = self._parts.setdefault(key, {})
+        parts[news.part] = news.body
+        if len(parts) < news.parts:
+            return
+        self._parts.clear()
+        try:
+            document = zlib.decompress(b"".join(parts[number] for number in range(news.parts)))
+        except (zlib.error, KeyError) as error:
+            logger.warning("store: a peer's configuration is broken", reason=repr(error))
+            return
+        self._take_document(document, news.sender)
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -0,0 +1,151 @@
+"""Reads one topic of a keyed store: all keys first, then what is written after."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dotterelgate_core.codes import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_daemon.platform import PlatformClient
+    from dotterelgate_daemon.store import Listing, StoreCalls, StoreRecord, Tail, Topic
+
+__all__ = ["Dependency", "KeyedReader"]
+
+logger = structlog.get_logger("store")
+
+FIRST_PAUSE_SECONDS = 0.5
+# A store that does not answer is asked no more often; refused calls cost as well.
+LONGEST_PAUSE_SECONDS = 2.0
+
+
+class Dependency:
+    """Whether a part of the platform answers; tells the log when that changes."""
+
+    def __init__(self, *, name: str) -> None:
+        self._name = name
+        self._failures = 0
+        self._since = 0.0
+
+    def note_answer(self) -> None:
+        """Note that it answered."""
+        if self._failures:
+            lost = round(time.monotonic() - self._since, 3)
+            logger.info(f"store: {self._name} is back", seconds=lost, failures=self._failures)
+        self._failures = 0
+
+    def note_failure(self, reason: str) -> float:
+        """Note that it did not answer.
+
+        :returns: seconds after which to ask again
+        """
+        if not self._failures:
+            self._since = time.monotonic()
+            logger.warning(f"store: {self._name} is lost", reason=reason)
+        self._failures += 1
+        return min(FIRST_PAUSE_SECONDS * 2 ** (self._failures - 1), LONGEST_PAUSE_SECONDS)
+
+
+class KeyedReader:
+    """Reads one topic: all keys first, then what is written after.
+
+    :param take: called with records, in order
+    :param listed: called with the keys and the end after all keys were read
+    :param done: called when a read is over
+    :param failed: called with the reason when one failed
+    """
+
+    def __init__(
+        self,
+        *,
+        topic: Topic,
+        calls: StoreCalls,
+        client: PlatformClient,
+        take: Callable[[list[StoreRecord]], None],
+        listed: Callable[[frozenset[str], int], None],
+        done: Callable[[], None],
+        failed: Callable[[str], None],
+    ) -> None:
+        self.position: int | None = None
+        self._topic = topic
+        self._calls = calls
+        self._client = client
+        self._take = take
+        self._listed = listed
+        self._done = done
+        self._failed = failed
+        self._keys: set[str] = set()
+        self._first_end = 0
+
+    def read(self, *, wait: float = 0.0) -> None:
+        """Read what is new; at first, all that there is.
+
+        :param wait: seconds that the store may hold the answer back
+        """
+        if self.position is None:
+            self._keys = set()
+            self._list("")
+            return
+        start = self.position
+        request = self._calls.read_tail(self._topic, start, wait)
+        self._client.fetch(
+            method=request.method,
+            path=request.path,
+            body=request.body,
+            answered=lambda status, body: self._take_tail(start, status, body),
+            failed=self._failed,
+            patience=wait,
+        )
+
+    def _list(self, after: str) -> None:
+        request = self._calls.list_newest(self._topic, after)
+        self._client.fetch(
+            method=request.method,
+            path=request.path,
+            body=request.body,
+            answered=lambda status, body: self._take_page(after, status, body),
+            failed=self._failed,
+        )
+
+    def _take_page(self, after: str, status: int, body: bytes) -> None:
+        page = self._calls.decode_listing(status, body)
+        if isinstance(page, Refusal):
+            self._failed(page.reason)
+            return
+        if not after:
+            self._first_end = page.end
+        self._take_records(page)
+        if not page.is_last and page.records:
+            self._list(page.records[-1].key)
+            return
+        # A later page may show newer records; the tail from the first page's end
+        # repeats them.
+        self.position = self._first_end
+        self._listed(frozenset(self._keys), self._first_end)
+        self._done()
+
+    def _take_records(self, page: Listing) -> None:
+        self._keys.update(record.key for record in page.records)
+        self._take(page.records)
+
+    def _take_tail(self, start: int, status: int, body: bytes) -> None:
+        tail = self._calls.decode_tail(start, status, body)
+        if isinstance(tail, Refusal):
+            self._failed(tail.reason)
+            return
+        if tail.is_gone:
+            logger.info("store: records were deleted; listing all keys", topic=self._topic.value)
+            self.position = None
+            self.read()
+            return
+        self._move(tail)
+        self._done()
+
+    def _move(self, tail: Tail) -> None:
+        self._take(tail.records)
+        self.position = max(self.position or 0, tail.end)
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -0,0 +1,173 @@
+"""Keeps the entries of backend servers, from the keyed store and from peers."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dotterelgate_border.datagrams import RegistryEntry, RegistryNews
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.reading import NewsHeard, RegistryReadEnded, RegistryReadFailed
+from dotterelgate_core.registry import RegistrationRead, RegistryListed
+from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader
+from dotterelgate_daemon.store import StoreRecord, Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_border.datagrams import Datagram
+    from dotterelgate_core.pipes import Message
+    from dotterelgate_core.registry import Registration, RegistryState
+    from dotterelgate_core.state import DaemonState
+    from dotterelgate_daemon.mesh import Mesh
+    from dotterelgate_daemon.platform import PlatformClient
+    from dotterelgate_daemon.store import StoreCalls
+
+__all__ = ["RegistryFollower"]
+
+logger = structlog.get_logger("store")
+
+# News repeat what changed lately, so that a lost datagram is made good by the next.
+REPEATED_SECONDS = 3.0
+# Larger news would not fit in a datagram; peers read for themselves then.
+NEWS_BYTES = 48_000
+MILLISECONDS = 1000
+
+
+class RegistryFollower:
+    """Keeps the entries of backend servers, from the store and from peers."""
+
+    def __init__(
+        self,
+        *,
+        state: DaemonState,
+        registry: RegistryState,
+        calls: StoreCalls,
+        client: PlatformClient,
+        mesh: Mesh,
+        tell: Callable[[Message], None],
+    ) -> None:
+        self._state = state
+        self._registry = registry
+        self._calls = calls
+        self._mesh = mesh
+        self._tell = tell
+        self._known: dict[str, Registration | None] = {}
+        self._recent: list[tuple[float, RegistryEntry]] = []
+        self._positions: list[tuple[float, int]] = []
+        self._dependency = Dependency(name="the registry's topic")
+        self._reader = KeyedReader(
+            topic=Topic.REGISTRY,
+            calls=calls,
+            client=client,
+            take=lambda records: self._take_records(records, "the store"),
+            listed=self._note_listing,
+            done=self._end_read,
+            failed=self._fail,
+        )
+
+    def read(self) -> None:
+        """Read what is new."""
+        self._reader.read()
+
+    def hear(self, message: Datagram) -> None:
+        """Take a peer's message."""
+        if isinstance(message, RegistryNews):
+            self._take_news(message)
+
+    def _note_listing(self, keys: frozenset[str], end: int) -> None:
+        self._tell(RegistryListed(now=time.monotonic(), names=keys, end=end))
+
+    def _end_read(self) -> None:
+        self._dependency.note_answer()
+        now = time.monotonic()
+        self._tell(RegistryReadEnded(now=now))
+        self._tell_peers(now)
+
+    def _fail(self, reason: str) -> None:
+        self._dependency.note_failure(reason)
+        self._tell(RegistryReadFailed(now=time.monotonic(), reason=reason))
+
+    def _take_records(self, records: list[StoreRecord], source: str) -> None:
+        now = time.monotonic()
+        for record in records:
+            registration, reason = self._decode(record)
+            if self._is_change(record.key, registration):
+                entry = RegistryEntry(name=record.key, offset=record.offset, value=record.value)
+                self._recent.append((now, entry))
+            read = RegistrationRead(
+                now=now,
+                name=record.key,
+                offset=record.offset,
+                registration=registration,
+                reason=reason,
+                source=source,
+            )
+            self._tell(read)
+
+    def _decode(self, record: StoreRecord) -> tuple[Registration | None, str]:
+        if record.value is None:
+            return None, "its entry was removed"
+        decoded = self._calls.decode_registration(record.value)
+        if isinstance(decoded, Refusal):
+            if self._known.get(record.key) is not None or record.key not in self._known:
+                logger.warning(
+                    "store: an entry names no backend server to use",
+                    entry=record.key,
+                    offset=record.offset,
+                    reason=decoded.reason,
+                )
+            return None, decoded.reason
+        return decoded, ""
+
+    def _is_change(self, name: str, registration: Registration | None) -> bool:
+        before = self._known.get(name)
+        self._known[name] = registration
+        if registration is None or before is None:
+            return True
+        return (
+            before.is_draining != registration.is_draining
+            or before.born != registration.born
+            or before.address != registration.address
+            or before.service != registration.service
+        )
+
+    def _tell_peers(self, now: float) -> None:
+        position = self._reader.position
+        if position is None:
+            return
+        self._recent = [each for each in self._recent if now - each[0] < REPEATED_SECONDS]
+        self._positions = [each for each in self._positions if now - each[0] < REPEATED_SECONDS]
+        start = self._positions[0][1] if self._positions else position
+        self._positions.append((now, position))
+        entries = [entry for _, entry in self._recent]
+        if sum(len(each.value or b"") + len(each.name) + 16 for each in entries) > NEWS_BYTES:
+            start, entries = position, []
+        returned = now - self._registry.returned_at
+        news = RegistryNews(
+            sender=self._state.name,
+            start=start,
+            end=position,
+            returned_ms=int(returned * MILLISECONDS) if returned < REPEATED_SECONDS else -1,
+            entries=entries,
+        )
+        for address in self._mesh.list_near():
+            self._mesh.send_message(address, news)
+
+    def _take_news(self, news: RegistryNews) -> None:
+        records = [
+            StoreRecord(key=each.name, offset=each.offset, value=each.value)
+            for each in news.entries
+        ]
+        now = time.monotonic()
+        if news.returned_ms >= 0:
+            returned_at = now - news.returned_ms / MILLISECONDS
+        else:
+            returned_at = float("-inf")
+        position = self._reader.position
+        if position is not None and position >= news.start:
+            self._tell(NewsHeard(now=now, returned_at=returned_at))
+            self._reader.position = max(position, news.end)
+        self._take_records(records, news.sender)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -21,19 +21,17 @@
 from dotterelgate_core.splits import SplitTable
 from dotterelgate_core.state import DaemonState, Limits
 from dotterelgate_core.store_control import make_store_pipeline
+from dotterelgate_daemon.configuration_following import ConfigurationFollower
+from dotterelgate_daemon.directory import DaemonDirectory
 from dotterelgate_daemon.endpoint import Endpoint, serve_endpoint
 from dotterelgate_daemon.explanation import describe_front, explain_route
 from dotterelgate_daemon.foundation import lay_foundation
 from dotterelgate_daemon.measuring import Prober
 from dotterelgate_daemon.mesh import Mesh
 from dotterelgate_daemon.platform import PlatformClient
+from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.running import Daemon
 from dotterelgate_daemon.stopping import GracefulStop
-from dotterelgate_daemon.store_following import (
-    ConfigurationFollower,
-    DaemonDirectory,
-    RegistryFollower,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
