--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -92,3 +92,7 @@
     Then each backend server was probed at most 3 times
     When 2 s pass with 10 requests a second
     Then each backend server was probed between 20 and 52 times
+
+  Scenario: Random schedules of outcomes, entries and configurations keep every promise
+    When 400 random schedules are run, from seed 1
+    Then no write is sent twice or told not run wrongly, and nothing goes where it must not
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from subjects.front import Front, find
+from subjects.front_schedules import FrontSchedule
 
 from dotterelgate_core import codes, messages
 from dotterelgate_core.codes import Refusal
@@ -363,3 +364,15 @@
 @then("each backend server was probed between {low:d} and {high:d} times")
 def check_busy(context, low, high):
     assert all(low <= count <= high for count in context.probes.values()), context.probes
+
+
+@when("{count:d} random schedules are run, from seed {first:d}")
+def run_schedules(context, count, first):
+    seeds = range(first, first + count)
+    context.faults = {seed: FrontSchedule(seed=seed).run() for seed in seeds}
+
+
+@then("no write is sent twice or told not run wrongly, and nothing goes where it must not")
+def check_schedules(context):
+    found = {seed: faults for seed, faults in context.faults.items() if faults}
+    assert not found, dict(list(found.items())[:5])
