Look at waiting calls on each tick; go on telling a daemon that stops

Ruled out: crests (0 to 5 requests in use), lost backend servers (all usable). Shown by a scenario that failed first.

--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -96,3 +96,9 @@
   Scenario: Random schedules of outcomes, entries and configurations keep every promise
     When 400 random schedules are run, from seed 1
     Then no write is sent twice or told not run wrongly, and nothing goes where it must not
+
+  Scenario: A call that waits is looked at again though no news come
+    Given a front with the entries i-1 at 5 and i-2 at 6
+    And every backend server reported that its neighbours slow it five times
+    When a read comes and only time passes, for 120 ms
+    Then it was dispatched
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -376,3 +376,24 @@
 def check_schedules(context):
     found = {seed: faults for seed, faults in context.faults.items() if faults}
     assert not found, dict(list(found.items())[:5])
+
+
+@given("every backend server reported that its neighbours slow it five times")
+def report_slow(context):
+    slow = LoadReport(running=0, waiting=0, slots=3, slowdown=5.0)
+    for server in context.front.state.servers.states.values():
+        server.view.note_report(slow, 0, context.front.now)
+
+
+@when("a read comes and only time passes, for {milliseconds:d} ms")
+def wait_without_news(context, milliseconds):
+    _, context.orders = context.front.arrive()
+    assert find(context.orders, messages.Dispatch) is None, context.orders
+    for _ in range(round(milliseconds / 1000 / TICK_SECONDS)):
+        context.front.now += TICK_SECONDS
+        context.orders.extend(context.front.tick())
+
+
+@then("it was dispatched")
+def check_dispatched(context):
+    assert find(context.orders, messages.Dispatch) is not None, context.orders
--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -8,6 +8,7 @@
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.messages import CallRouted, Decision, Settled, SlotFreed, Ticked
 from dotterelgate_core.returning import advise_return
+from dotterelgate_core.sharing import free_slots
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -94,8 +95,10 @@
 
 def _refuse_late(state: DaemonState, now: float) -> list[Message]:
     messages: list[Message] = []
-    for queue in state.waiting.queues.values():
+    for service, queue in state.waiting.queues.items():
         messages.extend(_refuse_late_of(state, queue, now))
+        # What a call takes changes as it waits, also when no news come.
+        messages.extend(free_slots(state, (service,), now))
     return messages
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -24,6 +24,7 @@
     "free_slots",
     "make_sharing_filter",
     "select_alive",
+    "select_near",
 ]
 
 # Heartbeats come every 0.25 s in an availability zone; four in a row may be lost.
@@ -96,6 +97,15 @@
     return alive
 
 
+def select_near(state: DaemonState, now: float) -> list[str]:
+    """Name the peers of the own zone that take requests; those that stop still do."""
+    return [
+        peer.name
+        for peer in state.peers.listed.values()
+        if peer.zone == state.zone and now - peer.heard_at <= SILENCE_SECONDS
+    ]
+
+
 def make_sharing_filter(state: DaemonState) -> Filter:
     """Make the filter from peers' messages to the shared view of the load."""
     forgot_at = float("-inf")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -22,7 +22,7 @@
     LoadHeard,
     ServerLoad,
     find_relay,
-    select_alive,
+    select_near,
 )
 from dotterelgate_daemon.polling import Watch
 
@@ -163,10 +163,9 @@
         self.send(address, encode_datagram(message))
 
     def list_near(self) -> list[str]:
-        """List the addresses of the daemons of the own zone that are alive."""
-        alive = select_alive(self._state, time.monotonic(), self._state.zone)
-        listed = self._state.peers.listed
-        return [listed[name].address for name in alive if name in listed]
+        """List the addresses of the daemons of the own zone that are heard."""
+        near = select_near(self._state, time.monotonic())
+        return [self._state.peers.listed[name].address for name in near]
 
     @staticmethod
     def _bind(address: str) -> socket.socket:
