--- a/packages/dotterelgate-core/src/dotterelgate_core/learning.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/learning.py
@@ -10,7 +10,7 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["learn_from_answer"]
+__all__ = ["FIRST_FAILURE_STATUS", "learn_from_answer"]
 
 FIRST_FAILURE_STATUS = 500
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.learning import FIRST_FAILURE_STATUS
 from dotterelgate_core.messages import (
     Answered,
     CallEnded,
@@ -37,7 +38,6 @@
 __all__ = ["make_finishing_filter", "make_settling_filter"]
 
 
-FIRST_FAILURE_STATUS = 500
 # Connections that may fail before the backend server reads anything of a request.
 UNSENT_LIMIT = 3
 
