--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -86,6 +86,18 @@
     When the reader falls silent
     Then another reads within 1.5 s
 
+  Scenario: Two daemons of a zone wait for a new configuration, others if those fall silent
+    Given 6 fronts of a zone that hear each other
+    When 3 s pass with news reaching all
+    Then 2 of them wait for a new configuration
+    When those that wait fall silent
+    Then 2 others wait for a new configuration within 2 s
+
+  Scenario: A store that fails is not asked without pause
+    Given 3 fronts of a zone that hear each other
+    When the reads of all fail for 10 s
+    Then the configuration was asked for at most 2 times a second by each
+
   Scenario: Reports are kept fresh where there are requests and rarely asked for elsewhere
     Given a front with the entries i-1 at 5 and i-2 at 6
     When 2 s pass without requests
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -11,7 +11,10 @@
 from dotterelgate_core.control_messages import Probe, ProbeAnswered
 from dotterelgate_core.loads import LoadReport
 from dotterelgate_core.reading import (
+    ConfigurationReadEnded,
+    ConfigurationReadFailed,
     NewsHeard,
+    ReadConfiguration,
     ReadRegistry,
     RegistryReadEnded,
     RegistryReadFailed,
@@ -285,7 +288,9 @@
                 for other in fronts:
                     if other not in (name, *silent):
                         front.hear_peer(other)
-            if find(front.tick(), ReadRegistry) is None:
+            orders = front.tick()
+            take_configuration_order(front, orders)
+            if find(orders, ReadRegistry) is None:
                 continue
             reads[name] += 1
             front.tell(RegistryReadEnded(now=front.now))
@@ -294,6 +299,55 @@
                     each.tell(NewsHeard(now=each.now, returned_at=float("-inf")))
 
 
+def take_configuration_order(front, orders):
+    """Answer the first read of the configuration; the store holds back further ones."""
+    reading = front.reading.configuration
+    if find(orders, ReadConfiguration) is not None and not reading.has_read:
+        front.tell(ConfigurationReadEnded(now=front.now))
+
+
+def list_waiting(context, silent=()):
+    """List the daemons that wait for a new configuration at the store."""
+    return [
+        name
+        for name, front in context.fronts.items()
+        if front.reading.configuration.is_asking and name not in silent
+    ]
+
+
+@then("{count:d} of them wait for a new configuration")
+def check_waiting(context, count):
+    context.waiting = list_waiting(context)
+    assert len(context.waiting) == count, context.waiting
+
+
+@when("those that wait fall silent")
+def silence_waiting(context):
+    context.silent = tuple(context.waiting)
+
+
+@then("{count:d} others wait for a new configuration within {seconds:g} s")
+def check_others_wait(context, count, seconds):
+    advance(context.fronts, context.reads, seconds, silent=context.silent)
+    assert len(list_waiting(context, context.silent)) == count, list_waiting(context)
+
+
+@when("the reads of all fail for {seconds:d} s")
+def fail_reads(context, seconds):
+    context.orders = 0
+    for _ in range(round(seconds / TICK_SECONDS)):
+        for front in context.fronts.values():
+            front.now += TICK_SECONDS
+            if find(front.tick(), ReadConfiguration) is not None:
+                context.orders += 1
+                front.tell(ConfigurationReadFailed(now=front.now, reason="the store is down"))
+
+
+@then("the configuration was asked for at most {count:d} times a second by each")
+def check_asked(context, count):
+    assert 0 < context.orders <= count * len(context.fronts) * 10, context.orders
+
+
 @when("{seconds:d} s pass with news reaching all")
 def pass_with_news(context, seconds):
     advance(context.fronts, context.reads, 1.0)
--- /dev/null
+++ b/features/steps/slot_steps.py
@@ -0,0 +1,196 @@
+"""Steps about slots that one daemon of a zone grants to the others."""
+
+from __future__ import annotations
+
+import math
+
+from behave import given, then, when
+from subjects.front import Front, find
+from subjects.zone import ZoneCrowd
+
+from dotterelgate_core import codes, messages
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.owners import find_owner
+from dotterelgate_core.slots import (
+    AskSlot,
+    GrantSlot,
+    SlotAsked,
+    SlotDenied,
+    SlotGrant,
+    SlotGranted,
+    WithdrawSlot,
+)
+
+SWING = 0.55
+PERIOD_SECONDS = 6.0
+TICK_SECONDS = 0.02
+
+
+@given("{servers:d} backend servers and a wave around {rate:d} requests a second, seed {seed:d}")
+def set_wave(context, servers, rate, seed):
+    context.wave = {
+        "servers": servers,
+        "seed": seed,
+        "rate": lambda s: rate * (1 + SWING * math.sin(2 * math.pi * s / PERIOD_SECONDS)),
+    }
+
+
+@when("{daemons:d} daemons of a zone serve it with granted slots")
+def serve(context, daemons):
+    context.daemons = daemons
+    context.granted = ZoneCrowd(policy="granted_queue", fronts=daemons, **context.wave).run()
+
+
+@when(
+    "{daemons:d} daemons of a zone serve it with granted slots and "
+    "{share:d} in 100 datagrams are lost"
+)
+def serve_with_loss(context, daemons, share):
+    context.daemons = daemons
+    context.granted = ZoneCrowd(
+        policy="granted_queue", fronts=daemons, loss=share / 100, **context.wave
+    ).run()
+
+
+@then("at least {share:d} in 100 of what one daemon alone answers within the target are")
+def compare_with_one(context, share):
+    alone = ZoneCrowd(policy="granted_queue", fronts=1, **context.wave).run()
+    reached = context.granted.in_target / context.granted.asked
+    possible = alone.in_target / alone.asked
+    assert reached >= share / 100 * possible, (reached, possible)
+
+
+@then("at most {share:d} in 100 requests find their backend server full")
+def check_full(context, share):
+    found = context.granted.queued_at_server / context.granted.asked
+    assert found <= share / 100, found
+
+
+@then("more requests are answered within the target than where each daemon chooses")
+def compare_with_shared(context):
+    context.shared = ZoneCrowd(policy="shared_queue", fronts=context.daemons, **context.wave).run()
+    assert context.granted.in_target > context.shared.in_target, (
+        context.granted.in_target,
+        context.shared.in_target,
+    )
+
+
+@then("fewer of them find their backend server full")
+def compare_full(context):
+    assert context.granted.queued_at_server < context.shared.queued_at_server
+
+
+@then("nothing that was told not run has run")
+def check_promises(context):
+    assert not context.granted.told_not_run & context.granted.ran
+
+
+@given("two fronts of which the other owns the service")
+def start_two(context):
+    pair = [Front(policy="granted_queue", name=name) for name in ("front-1", "front-2")]
+    for front in pair:
+        front.configure()
+        for offset in range(3):
+            front.register(f"i-{offset}", offset=offset)
+    for front, other in (pair, reversed(pair)):
+        front.hear_peer(other.state.name)
+    owner = find_owner(pair[0].state, "s", pair[0].now)
+    context.owner = next(each for each in pair if each.state.name == owner)
+    context.front = next(each for each in pair if each.state.name != owner)
+
+
+@when("a read comes and the owner is silent")
+def ask_silent(context):
+    context.began = context.front.now
+    context.call_id, orders = context.front.arrive()
+    assert find(orders, AskSlot) is not None
+    pass_time(context)
+
+
+def pass_time(context):
+    """Let time pass until the call is dispatched; the owner's heartbeats go on."""
+    context.dispatch = None
+    while context.dispatch is None and context.front.now - context.began < 1.0:
+        context.front.now += TICK_SECONDS
+        context.front.hear_peer(context.owner.state.name)
+        context.dispatch = find(context.front.tick(), messages.Dispatch)
+
+
+@then("it is dispatched within {limit:d} ms")
+def check_dispatched(context, limit):
+    assert context.dispatch is not None
+    assert context.front.now - context.began <= limit / 1000
+
+
+@then("the next read is not asked of that owner")
+def check_next(context):
+    _, orders = context.front.arrive()
+    assert find(orders, AskSlot) is None
+    assert find(orders, messages.Dispatch) is not None
+
+
+@when("a write comes, its caller leaves and the grant arrives after that")
+def leave_before_grant(context):
+    front = context.front
+    call_id, orders = front.arrive("/write/x")
+    assert find(orders, AskSlot) is not None
+    front.run(messages.CallerLeft(now=front.now, call_id=call_id))
+    front.now += TICK_SECONDS
+    context.after = list(front.tick())
+    context.after += grant(front, call_id, "i-1")
+
+
+def grant(front, call_id, server):
+    """Let the owner's grant arrive; returns the orders."""
+    granted = SlotGranted(
+        now=front.now, owner="front", call_id=call_id, grant=SlotGrant(server=server)
+    )
+    return front.run(granted)
+
+
+@then("the write is not dispatched and the owner is told")
+def check_not_sent(context):
+    assert find(context.after, messages.Dispatch) is None
+    assert find(context.after, WithdrawSlot) is not None
+
+
+@when("a read comes and is granted a backend server that has said it leaves")
+def grant_leaving(context):
+    call_id, _ = context.front.arrive()
+    context.front.register("i-1", offset=9, draining=True)
+    context.after = grant(context.front, call_id, "i-1")
+
+
+@then("the owner is asked for another one")
+def check_asked_again(context):
+    assert find(context.after, messages.Dispatch) is None
+    assert "i-1" in find(context.after, AskSlot).request.avoided
+
+
+@when("the owner hears the same question three times")
+def ask_three_times(context):
+    _, orders = context.front.arrive()
+    request = find(orders, AskSlot).request
+    owner = context.owner
+    asked = SlotAsked(
+        now=owner.now, wall=owner.now, asker=context.front.state.name, request=request
+    )
+    context.grants = [find(owner.run(asked), GrantSlot) for _ in range(3)]
+
+
+@then("it grants the same slot each time and counts one request")
+def check_one_slot(context):
+    assert None not in context.grants
+    assert len({order.grant.server for order in context.grants}) == 1
+    states = context.owner.state.servers.states.values()
+    assert sum(each.count_load() for each in states) == 1
+
+
+@when("a read comes and the owner says that it knows no such route")
+def deny_route(context):
+    context.began = context.front.now
+    call_id, _ = context.front.arrive()
+    refusal = Refusal(codes.NO_CONFIGURATION, "the owner knows no route")
+    for _ in range(2):
+        denied = SlotDenied(now=context.front.now, call_id=call_id, refusal=refusal)
+        context.dispatch = find(context.front.run(denied), messages.Dispatch)
--- a/features/subjects/crowd.py
+++ b/features/subjects/crowd.py
@@ -32,14 +32,19 @@
     drawn_at: float = float("-inf")
     running: dict[int, float] = field(default_factory=dict)
     queue: list[int] = field(default_factory=list)
+    works: dict[int, float] = field(default_factory=dict)
 
-    def start(self, call_id: int, now: float) -> None:
-        """Start a request, or queue it."""
+    def start(self, call_id: int, now: float, *, work: float = WORK_SECONDS) -> None:
+        """Start a request, or queue it.
+
+        :param work: mean seconds that it takes while nothing slows it
+        """
+        self.works[call_id] = work
         if len(self.running) >= self.slots:
             self.queue.append(call_id)
             return
         crowded = len(self.running) + 1 > CALM_SHARE * self.slots
-        work = WORK_SECONDS * self.random.uniform(0.7, 1.3) * self.slowdown
+        work *= self.random.uniform(0.7, 1.3) * self.slowdown
         self.running[call_id] = now + work * (CROWDED_FACTOR if crowded else 1.0)
 
     def step(self, now: float) -> list[int]:
@@ -52,7 +57,8 @@
         for call_id in ended:
             del self.running[call_id]
             if self.queue:
-                self.start(self.queue.pop(0), now)
+                following = self.queue.pop(0)
+                self.start(following, now, work=self.works[following])
         return ended
 
     def report(self) -> LoadReport:
--- a/features/subjects/front.py
+++ b/features/subjects/front.py
@@ -47,10 +47,18 @@
         self._control = make_store_pipeline(self.state, self.registry, self.reading)
         self._decide = make_request_pipeline(self.state, random.Random(seed), keyed=False)
 
-    def configure(self, revision=1, *, split=(), services=("s",), attempts=2, target=0.2):
+    def configure(
+        self, revision=1, *, split=(), services=("s",), attempts=2, target=0.2, timeout=0.5
+    ):
         """Put a configuration in force, with a read, a write and perhaps a split route."""
         routes = (
-            Route(prefix="/read/", idempotent=True, timeout=0.5, target=target, attempts=attempts),
+            Route(
+                prefix="/read/",
+                idempotent=True,
+                timeout=timeout,
+                target=target,
+                attempts=attempts,
+            ),
             Route(prefix="/write/", idempotent=False, timeout=0.5, target=target),
             Route(
                 prefix="/split/",
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -13,6 +13,11 @@
     "NewsAsked",
     "RegistryEntry",
     "RegistryNews",
+    "SlotAnswer",
+    "SlotQuestion",
+    "SlotRefusal",
+    "SlotReturn",
+    "SlotWait",
     "decode_datagram",
     "encode_datagram",
 ]
@@ -117,7 +122,75 @@
     body: bytes
 
 
-Datagram = Heartbeat | LoadNews | RegistryNews | NewsAsked | ConfigurationNews
+class SlotQuestion(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=6):
+    """A call of the sender wants a slot; fields as in ``SlotRequest``."""
+
+    sender: str
+    call_id: int
+    request_id: str
+    service: str
+    route: str
+    work: float
+    waited: float
+    left: float
+    attempt: int
+    avoided: list[str]
+
+
+class SlotAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=7):
+    """The receiver's call may go to a backend server.
+
+    :param slowdown: slowdown that the backend server reported last
+    :param report_age: seconds since that report
+    """
+
+    sender: str
+    call_id: int
+    server: str
+    slowdown: float
+    report_age: float
+
+
+class SlotWait(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=8):
+    """The receiver's call waits at the sender."""
+
+    sender: str
+    call_id: int
+
+
+class SlotRefusal(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=9):
+    """The receiver's call gets no slot.
+
+    :param code: number of the result code
+    :param retry_after: seconds after which the caller should come back
+    """
+
+    sender: str
+    call_id: int
+    code: int
+    reason: str
+    retry_after: float | None
+
+
+class SlotReturn(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=10):
+    """The sender's call needs no slot any more."""
+
+    sender: str
+    call_id: int
+
+
+Datagram = (
+    Heartbeat
+    | LoadNews
+    | RegistryNews
+    | NewsAsked
+    | ConfigurationNews
+    | SlotQuestion
+    | SlotAnswer
+    | SlotWait
+    | SlotRefusal
+    | SlotReturn
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -11,10 +11,11 @@
 from dotterelgate_core.sharing import free_slots
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from dotterelgate_core.calls import CallState
     from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.policies import Policy
     from dotterelgate_core.queues import ServiceQueue
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
@@ -24,48 +25,54 @@
 # Share of its time that a request may wait where daemons share their view of the
 # load; later it is refused, so that its caller can still come back in time.
 WAIT_SHARE = 0.25
-SHARED_POLICY = "shared_queue"
 
 
-def make_admission_filter(state: DaemonState) -> Filter:
+def make_admission_filter(state: DaemonState, policies: Mapping[str, Policy]) -> Filter:
     """Make the filter from routed calls to waiting ones, and from ticks to refusals."""
 
     def admit(message: Message) -> Iterable[Message]:
         if isinstance(message, Ticked):
-            return [*_refuse_late(state, message.now), message]
+            return [*_refuse_late(state, policies, message.now), message]
         if not isinstance(message, CallRouted):
             return (message,)
-        return _admit(state, message)
+        return _admit(state, policies, message)
 
     return admit
 
 
-def _admit(state: DaemonState, routed: CallRouted) -> list[Message]:
+def _admit(state: DaemonState, policies: Mapping[str, Policy], routed: CallRouted) -> list[Message]:
     call_state = state.calls.states[routed.call.id]
     queue = state.waiting.find(routed.service.name)
     if call_state.attempts or call_state.admitted:
         queue.add_first(call_state)
         return [SlotFreed(now=routed.now, service=routed.service.name)]
-    refusal = _refuse(state, routed, call_state)
+    refusal = _refuse(state, policies, routed, call_state)
     if refusal is not None:
         return _end_refused(state, call_state, refusal, routed.now)
-    state.retries.find(routed.service.name, routed.service.retry_share).earn()
+    if call_state.asker is None:
+        state.retries.find(routed.service.name, routed.service.retry_share).earn()
+        call_state.work = state.times.estimate(routed.service, routed.route)
     call_state.admitted = True
-    call_state.work = state.times.estimate(routed.service, routed.route)
     queue.add(call_state)
     return [SlotFreed(now=routed.now, service=routed.service.name)]
 
 
-def _refuse(state: DaemonState, routed: CallRouted, call_state: CallState) -> Refusal | None:
+def _refuse(
+    state: DaemonState,
+    policies: Mapping[str, Policy],
+    routed: CallRouted,
+    call_state: CallState,
+) -> Refusal | None:
     service = routed.service
+    policy = policies[service.policy]
     pool = state.servers.by_service.get(service.name, [])
     eligible = [each for each in pool if each.is_eligible(routed.now)]
     if not eligible:
         reason = f"no backend server of {service.name} can be used"
         return Refusal(codes.NO_SERVER, reason, retry_after=advise_return(call_state, routed.now))
-    wait = _estimate_wait(state, routed, eligible)
+    wait = _estimate_wait(state, policy, routed, eligible)
     allowed = min(service.queue_limit, routed.deadline - routed.now)
-    if service.policy == SHARED_POLICY:
+    if policy.shared:
         allowed = _limit_wait(state, call_state)
     if wait <= allowed:
         return None
@@ -73,13 +80,15 @@
     return Refusal(codes.OVERLOADED, reason, retry_after=advise_return(call_state, routed.now))
 
 
-def _estimate_wait(state: DaemonState, routed: CallRouted, eligible: list[ServerState]) -> float:
+def _estimate_wait(
+    state: DaemonState, policy: Policy, routed: CallRouted, eligible: list[ServerState]
+) -> float:
     slots = sum(each.server.slots for each in eligible)
     route = routed.route
     if route.long:
         slots = max(1, int(slots * routed.service.long_share))
     queue = state.waiting.find(routed.service.name)
-    if routed.service.policy == SHARED_POLICY:
+    if policy.shared and not policy.granted:
         # The daemons of the zone share the slots, and their queues are alike.
         slots = max(1, slots // state.sharers)
     return queue.estimate_wait(route.priority, long=route.long, slots=slots)
@@ -93,22 +102,24 @@
     return max(0.0, min(WAIT_SHARE * time, time - work))
 
 
-def _refuse_late(state: DaemonState, now: float) -> list[Message]:
+def _refuse_late(state: DaemonState, policies: Mapping[str, Policy], now: float) -> list[Message]:
     messages: list[Message] = []
     for service, queue in state.waiting.queues.items():
-        messages.extend(_refuse_late_of(state, queue, now))
+        messages.extend(_refuse_late_of(state, policies, queue, now))
         # What a call takes changes as it waits, also when no news come.
         messages.extend(free_slots(state, (service,), now))
     return messages
 
 
-def _refuse_late_of(state: DaemonState, queue: ServiceQueue, now: float) -> list[Message]:
+def _refuse_late_of(
+    state: DaemonState, policies: Mapping[str, Policy], queue: ServiceQueue, now: float
+) -> list[Message]:
     messages: list[Message] = []
     for call_id in queue.list_waiting():
         call_state = state.calls.states.get(call_id)
         if call_state is None or not call_state.queued:
             continue
-        if call_state.routed.service.policy != SHARED_POLICY:
+        if not policies[call_state.routed.service.policy].shared:
             return messages
         waited = now - call_state.arrived
         if waited <= _limit_wait(state, call_state):
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -0,0 +1,247 @@
+"""Filter that asks the owner of a service's queue for a slot."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from dotterelgate_core import codes
+from dotterelgate_core.binding import dispatch_call
+from dotterelgate_core.messages import CallRouted, Decision, Settled, Ticked
+from dotterelgate_core.owners import find_owner
+from dotterelgate_core.slots import (
+    AskSlot,
+    SlotDenied,
+    SlotGranted,
+    SlotQueued,
+    SlotRequest,
+    WithdrawSlot,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from dotterelgate_core.calls import CallState
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.policies import Policy
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["AskingState", "make_asking_filter"]
+
+# A question is repeated after so long; an answer takes a few milliseconds.
+REPEAT_SECONDS = 0.03
+# Questions left unanswered in a row after which the owner counts as lost.
+UNANSWERED_LIMIT = 3
+# Owners asked for one call; then this daemon chooses by its own view.
+OWNERS_LIMIT = 2
+# A grant may name a backend server that this daemon knows to be leaving.
+USELESS_GRANTS_LIMIT = 3
+
+
+@dataclass(kw_only=True, slots=True)
+class Question:
+    """One call that waits for an owner's answer.
+
+    :param asked_at: monotonic second of the newest question
+    :param unanswered: questions since the owner's last answer
+    :param useless: grants that could not be used
+    """
+
+    owner: str
+    asked_at: float
+    unanswered: int = 1
+    useless: int = 0
+
+
+@dataclass(kw_only=True, slots=True)
+class AskingState:
+    """Calls that wait for an owner's answer.
+
+    :param questions: by call id
+    :param owners_asked: owners that a call was tried at, by call id
+    """
+
+    questions: dict[int, Question] = field(default_factory=dict)
+    owners_asked: dict[int, int] = field(default_factory=dict)
+
+
+def make_asking_filter(
+    state: DaemonState, asking: AskingState, policies: Mapping[str, Policy]
+) -> Filter:
+    """Make the filter from routed calls to questions, and from answers to dispatches."""
+
+    def ask(message: Message) -> Iterable[Message]:
+        orders: list[Message] = []
+        for order in take(message):
+            if isinstance(order, CallRouted):
+                orders.extend(_ask_first(state, asking, policies, order))
+            else:
+                orders.append(order)
+        return orders
+
+    def take(message: Message) -> Iterable[Message]:
+        if isinstance(message, SlotGranted):
+            return _take_grant(state, asking, message)
+        if isinstance(message, SlotQueued):
+            question = asking.questions.get(message.call_id)
+            if question is not None:
+                question.unanswered = 0
+            return ()
+        if isinstance(message, SlotDenied):
+            return _take_denial(state, asking, message)
+        if isinstance(message, Ticked):
+            return [*_look_after(state, asking, message.now), message]
+        return (message,)
+
+    return ask
+
+
+def _ask_first(
+    state: DaemonState,
+    asking: AskingState,
+    policies: Mapping[str, Policy],
+    routed: CallRouted,
+) -> list[Message]:
+    call_state = state.calls.states[routed.call.id]
+    service = routed.service
+    owner = find_owner(state, service.name, routed.now)
+    is_local = call_state.asker is not None or owner == state.name
+    if is_local or not policies[service.policy].granted:
+        return [routed]
+    if asking.owners_asked.get(routed.call.id, 0) >= OWNERS_LIMIT:
+        return [routed]
+    pool = state.servers.by_service.get(service.name, [])
+    if not any(each.is_eligible(routed.now) for each in pool):
+        return [routed]
+    if not call_state.admitted:
+        state.retries.find(service.name, service.retry_share).earn()
+        call_state.admitted = True
+        call_state.work = state.times.estimate(service, routed.route)
+    call_state.queued = True
+    asking.questions[routed.call.id] = Question(owner=owner, asked_at=routed.now)
+    return [_build_question(call_state, owner, routed.now)]
+
+
+def _build_question(call_state: CallState, owner: str, now: float) -> AskSlot:
+    routed = call_state.routed
+    request = SlotRequest(
+        call_id=routed.call.id,
+        request_id=routed.call.request_id,
+        service=routed.service.name,
+        route=routed.route.name or routed.route.prefix,
+        work=call_state.work,
+        waited=now - call_state.arrived,
+        left=max(0.0, routed.deadline - now),
+        attempt=call_state.attempts,
+        avoided=tuple(sorted(call_state.avoided)),
+    )
+    return AskSlot(owner=owner, request=request)
+
+
+def _take_grant(state: DaemonState, asking: AskingState, granted: SlotGranted) -> list[Message]:
+    question = asking.questions.get(granted.call_id)
+    call_state = state.calls.states.get(granted.call_id)
+    name = granted.grant.server
+    if question is None or call_state is None or call_state.server is not None:
+        # The owner counts a request there that does not exist; the next news correct it.
+        state.servers.changed.add(name)
+        return []
+    server = state.servers.states.get(name)
+    if server is None or not server.is_eligible(granted.now):
+        state.servers.changed.add(name)
+        return _ask_again(state, asking, question, call_state, name, granted.now)
+    _forget(asking, granted.call_id)
+    facts = {
+        "owner": granted.owner,
+        "slowdown": granted.grant.slowdown,
+        "report_age_ms": round(granted.grant.report_age * 1000),
+    }
+    call_state.expected = granted.grant.slowdown
+    return dispatch_call(state, call_state, server, granted.now, facts)
+
+
+def _ask_again(
+    state: DaemonState,
+    asking: AskingState,
+    question: Question,
+    call_state: CallState,
+    useless: str,
+    now: float,
+) -> list[Message]:
+    call_state.avoided.add(useless)
+    question.useless += 1
+    if question.useless < USELESS_GRANTS_LIMIT:
+        question.asked_at = now
+        return [_build_question(call_state, question.owner, now)]
+    return _choose_here(asking, call_state, now, "its grants cannot be used")
+
+
+def _take_denial(state: DaemonState, asking: AskingState, denied: SlotDenied) -> list[Message]:
+    question = asking.questions.get(denied.call_id)
+    call_state = state.calls.states.get(denied.call_id)
+    if question is None or call_state is None or call_state.server is not None:
+        return []
+    if denied.refusal.code in (codes.NO_CONFIGURATION, codes.NO_SERVER):
+        # This daemon knows of a route and of backend servers; the owner lags behind.
+        return _choose_here(asking, call_state, denied.now, denied.refusal.reason)
+    _forget(asking, denied.call_id)
+    call_state.queued = False
+    decision = Decision(
+        part="asking",
+        sentence=f"{question.owner} refused: {denied.refusal.reason}",
+        call_id=denied.call_id,
+        service=call_state.routed.service.name,
+        facts={"owner": question.owner, "attempts": call_state.attempts},
+    )
+    settled = Settled(now=denied.now, call_id=denied.call_id, refusal=denied.refusal, ran=False)
+    return [decision, settled]
+
+
+def _look_after(state: DaemonState, asking: AskingState, now: float) -> list[Message]:
+    messages: list[Message] = []
+    for call_id, question in list(asking.questions.items()):
+        call_state = state.calls.states.get(call_id)
+        if call_state is None:
+            _forget(asking, call_id)
+            messages.append(WithdrawSlot(owner=question.owner, call_id=call_id))
+        elif now - question.asked_at >= REPEAT_SECONDS:
+            messages.extend(_repeat(state, asking, question, call_state, now))
+    return messages
+
+
+def _repeat(
+    state: DaemonState,
+    asking: AskingState,
+    question: Question,
+    call_state: CallState,
+    now: float,
+) -> list[Message]:
+    if question.unanswered >= UNANSWERED_LIMIT:
+        state.owners.suspect(question.owner, now)
+        return _choose_here(asking, call_state, now, "it does not answer")
+    question.unanswered += 1
+    question.asked_at = now
+    return [_build_question(call_state, question.owner, now)]
+
+
+def _choose_here(
+    asking: AskingState, call_state: CallState, now: float, reason: str
+) -> list[Message]:
+    """Try the next owner, or choose here once enough were tried."""
+    call_id = call_state.call.id
+    question = asking.questions.pop(call_id)
+    asking.owners_asked[call_id] = asking.owners_asked.get(call_id, 0) + 1
+    decision = Decision(
+        part="asking",
+        sentence=f"{question.owner} is passed over as owner: {reason}",
+        call_id=call_id,
+        service=call_state.routed.service.name,
+        target=question.owner,
+    )
+    withdrawal = WithdrawSlot(owner=question.owner, call_id=call_id)
+    return [decision, withdrawal, replace(call_state.routed, now=now)]
+
+
+def _forget(asking: AskingState, call_id: int) -> None:
+    asking.questions.pop(call_id, None)
+    asking.owners_asked.pop(call_id, None)
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.messages import Decision, Dispatch, SlotFreed
+from dotterelgate_core.slots import GrantSlot, SlotGrant
 
 if TYPE_CHECKING:
     from collections import deque
@@ -17,7 +18,7 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_binding_filter"]
+__all__ = ["dispatch_call", "make_binding_filter"]
 
 HELD_GRACE_SECONDS = 10.0
 
@@ -55,7 +56,7 @@
     line = _find_line(state, queue, pool, freed.service)
     if line is None:
         return []
-    call_state = state.calls.states[line[0]]
+    call_state = _choose_call(state, line, freed.now)
     policy = policies[call_state.routed.service.policy]
     candidates = _select_candidates(pool, call_state, freed.now, late=policy.late)
     if not candidates:
@@ -63,9 +64,11 @@
     chosen = policy.choose(candidates, call_state, freed.now)
     if chosen is None:
         return []
-    line.popleft()
-    state.servers.changed.add(chosen.server.name)
-    return _dispatch(queue, call_state, chosen, freed.now)
+    line.remove(call_state.call.id)
+    if call_state.asker is not None:
+        return _grant(call_state, chosen, freed.now)
+    call_state.expected = chosen.view.estimate_slowdown(freed.now, 1.0)
+    return dispatch_call(state, call_state, chosen, freed.now, _list_view(chosen, freed.now))
 
 
 def _find_line(
@@ -82,6 +85,23 @@
     return None
 
 
+def _choose_call(state: DaemonState, line: deque[int], now: float) -> CallState:
+    """Choose the oldest call that can still be answered within its target, if any.
+
+    Those that cannot get the slots that are left over, oldest first.
+    """
+    first: CallState | None = None
+    for call_id in line:
+        call_state = state.calls.states.get(call_id)
+        if call_state is None or not call_state.queued:
+            continue
+        if call_state.can_reach_target(now):
+            return call_state
+        first = first or call_state
+    assert first is not None
+    return first
+
+
 def _drop_ended(state: DaemonState, line: deque[int]) -> None:
     while line:
         call_state = state.calls.states.get(line[0])
@@ -101,19 +121,60 @@
     return [each for each in candidates if each.count_free() > 0]
 
 
-def _dispatch(
-    queue: ServiceQueue, call_state: CallState, chosen: ServerState, now: float
+def _grant(call_state: CallState, chosen: ServerState, now: float) -> list[Message]:
+    """Give a slot to a call of another daemon, which dispatches it."""
+    assert call_state.asker is not None
+    call_state.queued = False
+    call_state.sent_at = now
+    sentence = _explain(chosen)
+    # The asker's next news say the same; until then the slot must not be given twice.
+    chosen.view.add_peer_request(call_state.asker, now)
+    report = chosen.view.report
+    grant = SlotGrant(
+        server=chosen.server.name,
+        slowdown=report.slowdown if report is not None else 1.0,
+        report_age=now - chosen.view.reported_at if report is not None else 0.0,
+    )
+    facts = {
+        "asker": call_state.asker,
+        "asked_request": call_state.call.request_id,
+        **_list_times(call_state, now),
+        **_list_view(chosen, now),
+    }
+    return [
+        GrantSlot(asker=call_state.asker, call_id=call_state.call.id, grant=grant),
+        Decision(
+            part="granting",
+            sentence=f"{sentence}, for {call_state.asker}",
+            call_id=call_state.call.id,
+            service=call_state.routed.service.name,
+            target=chosen.server.name,
+            facts=facts,
+        ),
+    ]
+
+
+def dispatch_call(
+    state: DaemonState,
+    call_state: CallState,
+    chosen: ServerState,
+    now: float,
+    facts: dict[str, object],
 ) -> list[Message]:
+    """Send a call of this daemon to a backend server.
+
+    :param facts: what the backend server was chosen by, for the log
+    """
     routed = call_state.routed
+    state.servers.changed.add(chosen.server.name)
     call_state.queued = False
     call_state.server = chosen.server.name
     call_state.sent_at = now
     call_state.attempts += 1
-    call_state.expected = chosen.view.estimate_slowdown(now, 1.0)
     chosen.in_flight += 1
     chosen.used_at = now
     if routed.route.long:
-        queue.long_in_flight += 1
+        state.waiting.find(routed.service.name).long_in_flight += 1
     grace = HELD_GRACE_SECONDS if is_fenced(call_state) else 0.0
     return [
         Dispatch(
@@ -130,23 +191,28 @@
             call_id=routed.call.id,
             service=routed.service.name,
             target=chosen.server.name,
-            facts=_list_facts(call_state, chosen, now),
+            facts={**_list_times(call_state, now), **facts},
         ),
     ]
 
 
-def _list_facts(call_state: CallState, chosen: ServerState, now: float) -> dict[str, object]:
-    view = chosen.view
-    facts: dict[str, object] = {
+def _list_times(call_state: CallState, now: float) -> dict[str, object]:
+    return {
         "route": call_state.routed.route.name or call_state.routed.route.prefix,
         "attempt": call_state.attempts,
         "waited_ms": round((now - call_state.arrived) * 1000),
         "left_ms": round((call_state.routed.deadline - now) * 1000),
     }
-    if view.report is not None:
-        facts["slowdown"] = view.report.slowdown
-        facts["report_age_ms"] = round((now - view.reported_at) * 1000)
-    return facts
+
+
+def _list_view(chosen: ServerState, now: float) -> dict[str, object]:
+    view = chosen.view
+    if view.report is None:
+        return {}
+    return {
+        "slowdown": view.report.slowdown,
+        "report_age_ms": round((now - view.reported_at) * 1000),
+    }
 
 
 def is_fenced(call_state: CallState) -> bool:
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -9,7 +9,12 @@
 if TYPE_CHECKING:
     from dotterelgate_core.messages import Call, CallRouted
 
-__all__ = ["CallState", "CallTable"]
+__all__ = ["WAY_SECONDS", "CallState", "CallTable"]
+
+# Time on the way from and to the caller, which the target includes.
+WAY_SECONDS = 0.016
+# Slowdown that a call of usual luck meets: one of several requests at a backend server.
+EXPECTED_FACTOR = 1.3
 
 
 @dataclass(kw_only=True, slots=True)
@@ -33,6 +38,7 @@
     :param unsent: dispatches of which nothing was sent
     :param admitted: whether it was let into the queue
     :param work: seconds that it is expected to take on a calm backend server
+    :param asker: daemon of the zone that has the call and asks for a slot
     """
 
     routed: CallRouted
@@ -52,6 +58,7 @@
     unsent: int = 0
     admitted: bool = False
     work: float = 0.0
+    asker: str | None = None
 
     def patient_until(self, share: float) -> float:
         """Tell until when it may wait for a better backend server.
@@ -62,6 +69,11 @@
         target = self.routed.route.target or self.routed.route.timeout
         return self.arrived + share * min(target, self.routed.deadline - self.arrived)
 
+    def can_reach_target(self, now: float) -> bool:
+        """Tell whether an answer within the target can be expected if it is sent now."""
+        target = self.routed.route.target or self.routed.route.timeout
+        return now + EXPECTED_FACTOR * self.work + WAY_SECONDS <= self.arrived + target
+
     @property
     def call(self) -> Call:
         """The call itself."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.admission import make_admission_filter
+from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
+from dotterelgate_core.granting import (
+    GrantingState,
+    make_granting_filter,
+    make_reply_filter,
+)
 from dotterelgate_core.holding import make_holding_filter, make_key_settling_filter
 from dotterelgate_core.observing import make_observing_filter
 from dotterelgate_core.owning import make_owning_filter
@@ -35,9 +41,11 @@
     """Make the pipeline from what happens to a call to the orders for it.
 
     It reads ``CallArrived``, ``CallerLeft``, ``Answered``, ``DispatchFailed``,
-    ``PeerAnswered``, ``PeerFailed``, ``SlotFreed`` and ``Ticked``. It writes
-    ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``, ``Replay``,
-    ``CallRefused`` and ``Decision``.
+    ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotAsked``, ``SlotGranted``,
+    ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn`` and ``Ticked``. It writes
+    ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``AskSlot``,
+    ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``, ``CallRefused`` and
+    ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -46,6 +54,7 @@
         them no lease is needed
     """
     policies = {**make_policies(random, state.zone), **(further or {})}
+    granting = GrantingState()
     held = [make_holding_filter(state), make_owning_filter(state, policies)] if keyed else []
     settled = [make_key_settling_filter(state)] if keyed else []
     return connect(
@@ -53,8 +62,11 @@
         make_observing_filter(state),
         make_settling_filter(state),
         *held,
-        make_admission_filter(state),
+        make_granting_filter(state, granting),
+        make_asking_filter(state, AskingState(), policies),
+        make_admission_filter(state, policies),
         *settled,
         make_binding_filter(state, policies),
+        make_reply_filter(state, granting),
         make_finishing_filter(state),
     )
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -0,0 +1,145 @@
+"""Filter of the owner of a service's queue: other daemons' calls wait in it like its own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.messages import Call, CallRouted, Settled, Ticked
+from dotterelgate_core.slots import (
+    DenySlot,
+    GrantSlot,
+    QueueSlot,
+    SlotAsked,
+    SlotWithdrawn,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelgate_core.configuration import Route, Service
+    from dotterelgate_core.pipes import Filter, Message
+    from dotterelgate_core.slots import SlotRequest
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["GrantingState", "make_granting_filter", "make_reply_filter"]
+
+# A grant whose answer was lost is given again to the same question for so long.
+REMEMBERED_SECONDS = 1.0
+
+
+@dataclass(kw_only=True, slots=True)
+class GrantingState:
+    """Calls of other daemons here.
+
+    :param granted: grants by call id, with the monotonic second of each
+    """
+
+    granted: dict[int, tuple[float, GrantSlot]] = field(default_factory=dict)
+
+
+def make_granting_filter(state: DaemonState, granting: GrantingState) -> Filter:
+    """Make the filter from other daemons' questions to routed calls."""
+
+    def grant(message: Message) -> Iterable[Message]:
+        if isinstance(message, SlotAsked):
+            return _take_question(state, granting, message)
+        if isinstance(message, SlotWithdrawn):
+            _withdraw(state, granting, message.call_id)
+            return ()
+        if isinstance(message, Ticked):
+            _forget_old(granting, message.now)
+        return (message,)
+
+    return grant
+
+
+def make_reply_filter(state: DaemonState, granting: GrantingState) -> Filter:
+    """Make the filter that remembers grants and turns refusals into answers to daemons."""
+
+    def reply(message: Message) -> Iterable[Message]:
+        if isinstance(message, GrantSlot):
+            call_state = state.calls.states.pop(message.call_id, None)
+            if call_state is not None:
+                granting.granted[message.call_id] = (call_state.sent_at, message)
+            return (message,)
+        if isinstance(message, Settled):
+            return _reply_settled(state, message)
+        return (message,)
+
+    return reply
+
+
+def _reply_settled(state: DaemonState, settled: Settled) -> list[Message]:
+    call_state = state.calls.states.get(settled.call_id)
+    if call_state is None or call_state.asker is None or settled.refusal is None:
+        return [settled]
+    del state.calls.states[settled.call_id]
+    return [DenySlot(asker=call_state.asker, call_id=settled.call_id, refusal=settled.refusal)]
+
+
+def _take_question(state: DaemonState, granting: GrantingState, asked: SlotAsked) -> list[Message]:
+    request = asked.request
+    known = granting.granted.get(request.call_id)
+    if known is not None and known[1].grant.server not in request.avoided:
+        return [known[1]]
+    granting.granted.pop(request.call_id, None)
+    if request.call_id in state.calls.states:
+        return [QueueSlot(asker=asked.asker, call_id=request.call_id)]
+    found = _find_route(state, request)
+    if found is None:
+        reason = f"the owner knows no route {request.route} of {request.service}"
+        refusal = Refusal(codes.NO_CONFIGURATION, reason)
+        return [DenySlot(asker=asked.asker, call_id=request.call_id, refusal=refusal)]
+    service, route = found
+    routed = CallRouted(
+        now=asked.now,
+        wall=asked.wall,
+        call=Call(id=request.call_id, method="", host="", path="", request_id=request.request_id),
+        service=service,
+        route=route,
+        deadline=asked.now + request.left,
+    )
+    _add_call(state, asked, routed)
+    return [routed]
+
+
+def _add_call(state: DaemonState, asked: SlotAsked, routed: CallRouted) -> None:
+    request = asked.request
+    call_state = state.calls.add(routed)
+    call_state.asker = asked.asker
+    call_state.arrived = asked.now - request.waited
+    call_state.work = request.work
+    call_state.attempts = request.attempt
+    call_state.avoided = set(request.avoided)
+    state.times.routed_at[request.service] = asked.now
+
+
+def _find_route(state: DaemonState, request: SlotRequest) -> tuple[Service, Route] | None:
+    service = state.configuration.find_service(request.service)
+    if service is None or state.configuration.current is None:
+        return None
+    # A split route stands with its first part only.
+    for each in (service, *state.configuration.current.services):
+        for route in each.routes:
+            if request.route in (route.name, route.prefix):
+                return service, route
+    return None
+
+
+def _withdraw(state: DaemonState, granting: GrantingState, call_id: int) -> None:
+    granting.granted.pop(call_id, None)
+    call_state = state.calls.states.get(call_id)
+    if call_state is not None and call_state.asker is not None:
+        call_state.queued = False
+        del state.calls.states[call_id]
+
+
+def _forget_old(granting: GrantingState, now: float) -> None:
+    old = [
+        call_id for call_id, (at, _) in granting.granted.items() if now - at > REMEMBERED_SECONDS
+    ]
+    for call_id in old:
+        del granting.granted[call_id]
--- a/packages/dotterelgate-core/src/dotterelgate_core/loads.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/loads.py
@@ -90,6 +90,11 @@
         else:
             self.peers.pop(peer, None)
 
+    def add_peer_request(self, peer: str, now: float) -> None:
+        """Count one request more of a peer than it said."""
+        count, _ = self.peers.get(peer, (0, now))
+        self.peers[peer] = (count + 1, now)
+
     def forget_old(self, now: float) -> bool:
         """Let go of counts that nobody repeated.
 
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/owners.py
@@ -0,0 +1,74 @@
+"""Owners of the services' queues in each availability zone; wrong views only cost speed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.peers import rank_by_rendezvous
+from dotterelgate_core.policies import GRANTED_POLICIES
+from dotterelgate_core.sharing import select_alive, select_near
+
+if TYPE_CHECKING:
+    from dotterelgate_core.state import DaemonState
+
+__all__ = ["OwnerTable", "find_owner", "is_granted", "list_owners", "select_listeners"]
+
+# The owner, and the daemon that follows it when it fails.
+OWNERS = 2
+# Ranks are worked out again this often.
+RANK_SECONDS = 0.2
+# An owner that left questions unanswered is passed over for so long; heartbeats tell
+# within 1.2 s whether it is gone.
+SUSPICION_SECONDS = 1.0
+
+
+@dataclass(kw_only=True, slots=True)
+class OwnerTable:
+    """Ranks of the daemons for each service and zone.
+
+    :param ranks: names by service and zone, the owner first
+    :param ranked_at: monotonic second of each rank
+    :param suspected_until: monotonic second until which a daemon is passed over
+    """
+
+    ranks: dict[tuple[str, str], list[str]] = field(default_factory=dict)
+    ranked_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    suspected_until: dict[str, float] = field(default_factory=dict)
+
+    def suspect(self, name: str, now: float) -> None:
+        """Pass over a daemon that left questions unanswered."""
+        self.suspected_until[name] = now + SUSPICION_SECONDS
+
+
+def list_owners(state: DaemonState, service: str, now: float, zone: str) -> list[str]:
+    """Name the owner of a service's queue in a zone, and the one that follows it."""
+    table = state.owners
+    key = (service, zone)
+    if now - table.ranked_at.get(key, float("-inf")) >= RANK_SECONDS:
+        table.ranks[key] = rank_by_rendezvous(service, select_alive(state, now, zone))
+        table.ranked_at[key] = now
+    rank = table.ranks[key]
+    if not table.suspected_until:
+        return rank[:OWNERS]
+    return [name for name in rank if table.suspected_until.get(name, now) <= now][:OWNERS]
+
+
+def find_owner(state: DaemonState, service: str, now: float) -> str:
+    """Name the owner of a service's queue in the own zone; this daemon if none is known."""
+    owners = list_owners(state, service, now, state.zone)
+    return owners[0] if owners else state.name
+
+
+def is_granted(state: DaemonState, service: str) -> bool:
+    """Tell whether the owner of a service's queue grants its slots."""
+    configured = state.configuration.find_service(service)
+    return configured is not None and configured.policy in GRANTED_POLICIES
+
+
+def select_listeners(state: DaemonState, service: str, now: float) -> list[str]:
+    """Name the peers of the zone that decide by the load of a service."""
+    if not is_granted(state, service):
+        return select_near(state, now)
+    owners = list_owners(state, service, now, state.zone)
+    return [name for name in owners if name != state.name]
--- a/packages/dotterelgate-core/src/dotterelgate_core/policies.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/policies.py
@@ -16,7 +16,7 @@
 
     Choose = Callable[[Sequence[ServerState], CallState, float], ServerState | None]
 
-__all__ = ["POLICY_NAMES", "Policy", "make_policies"]
+__all__ = ["GRANTED_POLICIES", "POLICY_NAMES", "Policy", "make_policies"]
 
 SPEED_WEIGHT = 4
 
@@ -28,6 +28,9 @@
     :param name: value of ``policy`` in the configuration
     :param owned: whether one daemon takes in all requests of the service
     :param late: whether a request waits in the daemon until a slot is free
+    :param shared: whether daemons of a zone tell each other the load, so that waits are
+        known and bounded
+    :param granted: whether one daemon of each zone grants the slots to the others
     :param choose: chooses among eligible backend servers, at least one, for a call
         at a monotonic second; ``None`` when the call should wait for a better one
     """
@@ -36,6 +39,8 @@
     owned: bool
     late: bool
     choose: Choose
+    shared: bool = False
+    granted: bool = False
 
 
 def make_policies(random: Random, zone: str = "") -> dict[str, Policy]:
@@ -44,8 +49,17 @@
     :param random: source of the random choices
     :param zone: availability zone of this daemon
     """
+    soonest = make_soonest(random, zone)
     policies = (
-        Policy(name="shared_queue", owned=False, late=True, choose=make_soonest(random, zone)),
+        Policy(
+            name="granted_queue",
+            owned=False,
+            late=True,
+            choose=soonest,
+            shared=True,
+            granted=True,
+        ),
+        Policy(name="shared_queue", owned=False, late=True, choose=soonest, shared=True),
         Policy(name="owner_queue", owned=True, late=True, choose=choose_fastest),
         Policy(name="local_queue", owned=False, late=True, choose=choose_fastest),
         Policy(name="least_in_flight", owned=False, late=False, choose=make_least(random)),
@@ -121,8 +135,12 @@
     return choose
 
 
+# Policies whose loads only the owners of a service's queue need to hear.
+GRANTED_POLICIES = frozenset(("granted_queue",))
+
 POLICY_NAMES = (
     "owner_queue",
+    "granted_queue",
     "shared_queue",
     "local_queue",
     "least_in_flight",
--- a/packages/dotterelgate-core/src/dotterelgate_core/reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/reading.py
@@ -1,8 +1,8 @@
-"""Filter that decides when this daemon reads the registry from the store."""
+"""Filter that decides when this daemon reads the store."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ControlTicked
@@ -18,7 +18,10 @@
     from dotterelgate_core.state import DaemonState
 
 __all__ = [
+    "ConfigurationReadEnded",
+    "ConfigurationReadFailed",
     "NewsHeard",
+    "ReadConfiguration",
     "ReadRegistry",
     "ReadingState",
     "RegistryReadEnded",
@@ -40,6 +43,11 @@
 FAILURES_OF_AN_OUTAGE = 2
 # A read that is not over by then counts as failed.
 PATIENCE_SECONDS = 1.5
+# The order in which daemons read is worked out this often.
+PLACE_SECONDS = 0.2
+# Daemons of an availability zone that wait for a new configuration at the store; the
+# others hear its revision in heartbeats. One alone may have its answer lost.
+CONFIGURATION_READERS = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,6 +70,26 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadConfiguration:
+    """Order to read the configuration, waiting for a newer one if one was read."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationReadEnded:
+    """The configuration's topic was read up to its end by this daemon."""
+
+    now: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationReadFailed:
+    """A read of the configuration's topic failed."""
+
+    now: float
+    reason: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NewsHeard:
     """A peer read the registry, and this daemon lacks nothing of what it read.
@@ -75,18 +103,42 @@
 
 @dataclass(kw_only=True, slots=True)
 class ReadingState:
-    """When the registry was read.
+    """When the store was read.
 
-    :param current_at: monotonic second as of which it is known
+    :param current_at: monotonic second as of which the registry is known
     :param asked_at: monotonic second of the last read of this daemon
     :param is_asking: whether a read is on its way
     :param failures: failed reads in a row
+    :param heard_at: monotonic second of the last news of a peer that reads
+    :param place: how many daemons of the zone are to read before this one
+    :param placed_at: monotonic second of which ``place`` is
+    :param configuration: the same of the configuration's topic
     """
 
     current_at: float = float("-inf")
     asked_at: float = float("-inf")
     is_asking: bool = False
     failures: int = 0
+    heard_at: float = float("-inf")
+    place: int = 0
+    placed_at: float = float("-inf")
+    configuration: ConfigurationReading = field(default_factory=lambda: ConfigurationReading())
+
+
+@dataclass(kw_only=True, slots=True)
+class ConfigurationReading:
+    """When the configuration's topic was read.
+
+    :param has_read: whether all of it was read once
+    :param is_asking: whether a read is on its way
+    :param failures: failed reads in a row
+    :param failed_at: monotonic second of the last of them
+    """
+
+    has_read: bool = False
+    is_asking: bool = False
+    failures: int = 0
+    failed_at: float = float("-inf")
 
 
 def make_reading_filter(
@@ -96,7 +148,11 @@
 
     def read(message: Message) -> Iterable[Message]:
         if isinstance(message, ControlTicked):
-            return [*_order_read(state, reading, message.now), message]
+            return [
+                *_order_read(state, reading, message.now),
+                *_order_configuration(state, reading, message.now),
+                message,
+            ]
         if isinstance(message, RegistryReadEnded):
             return _end_read(registry, reading, message.now)
         if isinstance(message, RegistryReadFailed):
@@ -106,6 +162,9 @@
             return ()
         if isinstance(message, NewsHeard):
             return _take_news(registry, reading, message)
+        if isinstance(message, (ConfigurationReadEnded, ConfigurationReadFailed)):
+            _end_configuration(reading.configuration, message)
+            return ()
         return (message,)
 
     return read
@@ -121,17 +180,61 @@
 
 def _is_due(state: DaemonState, reading: ReadingState, now: float) -> bool:
     since = now - reading.asked_at
+    if now - reading.current_at < READ_SECONDS:
+        return False
     if reading.is_asking and since < PATIENCE_SECONDS:
         return False
-    if reading.failures:
-        pause = FIRST_PAUSE_SECONDS * 2 ** (reading.failures - 1)
-        if since < min(pause, LONGEST_PAUSE_SECONDS):
-            return False
-    rank = rank_by_rendezvous(READER_SUBJECT, select_alive(state, now, state.zone))
-    place = rank.index(state.name) if state.name in rank else len(rank)
+    if since < _find_pause(reading.failures):
+        return False
+    place = _find_place(state, reading, now)
     if place == 0:
         return since >= READ_SECONDS
-    return now - reading.current_at >= SILENCE_SECONDS + RANK_SECONDS * place
+    return _is_missed(reading.current_at, place, now)
+
+
+def _find_pause(failures: int) -> float:
+    if not failures:
+        return 0.0
+    return min(FIRST_PAUSE_SECONDS * 2 ** (failures - 1), LONGEST_PAUSE_SECONDS)
+
+
+def _find_place(state: DaemonState, reading: ReadingState, now: float) -> int:
+    if now - reading.placed_at >= PLACE_SECONDS:
+        rank = rank_by_rendezvous(READER_SUBJECT, select_alive(state, now, state.zone))
+        reading.place = rank.index(state.name) if state.name in rank else len(rank)
+        reading.placed_at = now
+    return reading.place
+
+
+def _is_missed(heard_at: float, place: int, now: float) -> bool:
+    return now - heard_at >= SILENCE_SECONDS + RANK_SECONDS * place
+
+
+def _order_configuration(state: DaemonState, reading: ReadingState, now: float) -> list[Message]:
+    configuration = reading.configuration
+    if configuration.is_asking:
+        return []
+    if now - configuration.failed_at < _find_pause(configuration.failures):
+        return []
+    if configuration.has_read:
+        place = _find_place(state, reading, now)
+        is_reader = place < CONFIGURATION_READERS
+        if not is_reader and not _is_missed(reading.heard_at, place, now):
+            return []
+    configuration.is_asking = True
+    return [ReadConfiguration()]
+
+
+def _end_configuration(
+    configuration: ConfigurationReading, message: ConfigurationReadEnded | ConfigurationReadFailed
+) -> None:
+    configuration.is_asking = False
+    if isinstance(message, ConfigurationReadEnded):
+        configuration.has_read = True
+        configuration.failures = 0
+        return
+    configuration.failures += 1
+    configuration.failed_at = message.now
 
 
 def _end_read(registry: RegistryState, reading: ReadingState, now: float) -> list[Message]:
@@ -143,6 +246,7 @@
 
 def _take_news(registry: RegistryState, reading: ReadingState, news: NewsHeard) -> list[Message]:
     reading.current_at = max(reading.current_at, news.now)
+    reading.heard_at = news.now
     registry.is_away = False
     if news.returned_at > registry.returned_at:
         return [StoreReturned(now=news.returned_at)]
--- a/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ControlTicked, Probe, ProbeAnswered
+from dotterelgate_core.owners import is_granted, list_owners
 from dotterelgate_core.peers import rank_by_rendezvous
 from dotterelgate_core.sharing import free_slots, select_alive
 
@@ -100,7 +101,7 @@
         return False
     if now - server.view.reported_at < _choose_age(state, server.service, now):
         return False
-    return _find_sampler(state, sampling, server) == state.name
+    return _find_sampler(state, sampling, server, now) == state.name
 
 
 def _choose_age(state: DaemonState, service: str, now: float) -> float:
@@ -117,8 +118,22 @@
         sampling.samplers.clear()
 
 
-def _find_sampler(state: DaemonState, sampling: SamplingState, server: ServerState) -> str:
+def _find_owning_sampler(state: DaemonState, server: ServerState, now: float) -> str:
+    """Share the backend servers between the daemons that hear all reports of them."""
+    zone = server.server.zone
+    owners = list_owners(state, server.service, now, zone)
+    if not owners:
+        # No daemon of that zone is known to be alive.
+        owners = list_owners(state, server.service, now, state.zone) or [state.name]
+    return rank_by_rendezvous(server.server.name, owners)[0]
+
+
+def _find_sampler(
+    state: DaemonState, sampling: SamplingState, server: ServerState, now: float
+) -> str:
     name = server.server.name
+    if is_granted(state, server.service):
+        return _find_owning_sampler(state, server, now)
     sampler = sampling.samplers.get(name)
     if sampler is None:
         alive = sampling.alive.get(server.server.zone) or [
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -7,7 +7,7 @@
 
 from dotterelgate_core.control_messages import ControlTicked
 from dotterelgate_core.messages import Decision, SlotFreed
-from dotterelgate_core.peers import Peer, rank_by_rendezvous
+from dotterelgate_core.peers import Peer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,7 +31,6 @@
 SILENCE_SECONDS = 1.2
 # Other zones hear every eighth of them; one in a row may be lost.
 FAR_SILENCE_SECONDS = 4.5
-RELAY_SUBJECT = "relay"
 # Counts that nobody repeats are looked for this often.
 FORGET_SECONDS = 0.2
 
@@ -162,12 +161,6 @@
     state.servers.sampled.add(server.server.name)
 
 
-def find_relay(state: DaemonState, now: float, zone: str) -> str | None:
-    """Find the daemon of a zone that speaks to the other zones."""
-    alive = select_alive(state, now, zone)
-    return rank_by_rendezvous(RELAY_SUBJECT, alive)[0] if alive else None
-
-
 def _take_heartbeat(state: DaemonState, heard: HeartbeatHeard) -> list[Message]:
     peer = state.peers.listed.get(heard.peer)
     messages: list[Message] = []
@@ -188,7 +181,10 @@
 
 def _take_counts(state: DaemonState, heard: HeartbeatHeard) -> None:
     for name, server in state.servers.states.items():
-        server.view.note_peer(heard.peer, heard.in_flight.get(name, 0), heard.now)
+        count = heard.in_flight.get(name, 0)
+        server.view.note_peer(heard.peer, count, heard.now)
+        if count:
+            state.times.routed_at[server.service] = heard.now
 
 
 def _forget_peer(state: DaemonState, name: str) -> None:
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/slots.py
@@ -0,0 +1,149 @@
+"""Messages between a daemon and the owner of a service's queue in its zone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dotterelgate_core.codes import Refusal
+
+__all__ = [
+    "AskSlot",
+    "DenySlot",
+    "GrantSlot",
+    "QueueSlot",
+    "SlotAsked",
+    "SlotDenied",
+    "SlotGrant",
+    "SlotGranted",
+    "SlotQueued",
+    "SlotRequest",
+    "SlotWithdrawn",
+    "WithdrawSlot",
+]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotRequest:
+    """What the owner needs to know of a call that wants a slot.
+
+    :param call_id: id of the call at the daemon that has it
+    :param request_id: the caller's own id of the request, for the log
+    :param route: name or prefix of the route
+    :param work: seconds that the call takes on a calm backend server
+    :param waited: seconds since the call was routed first
+    :param left: seconds until its time limit
+    :param attempt: dispatches so far
+    :param avoided: backend servers that failed it
+    """
+
+    call_id: int
+    request_id: str
+    service: str
+    route: str
+    work: float
+    waited: float
+    left: float
+    attempt: int = 0
+    avoided: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotGrant:
+    """A slot of a backend server, and what the owner chose it by.
+
+    :param slowdown: slowdown that the backend server reported last
+    :param report_age: seconds since that report
+    """
+
+    server: str
+    slowdown: float = 1.0
+    report_age: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskSlot:
+    """Order to ask the owner for a slot."""
+
+    owner: str
+    request: SlotRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WithdrawSlot:
+    """Order to tell the owner that a call needs no slot any more."""
+
+    owner: str
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantSlot:
+    """Order to tell a daemon which backend server its call may go to."""
+
+    asker: str
+    call_id: int
+    grant: SlotGrant
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueueSlot:
+    """Order to tell a daemon that its call waits here."""
+
+    asker: str
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DenySlot:
+    """Order to tell a daemon that its call gets no slot."""
+
+    asker: str
+    call_id: int
+    refusal: Refusal
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotAsked:
+    """A daemon of the zone asks for a slot."""
+
+    now: float
+    wall: float
+    asker: str
+    request: SlotRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotWithdrawn:
+    """A daemon's call needs no slot any more."""
+
+    now: float
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotGranted:
+    """The owner granted a slot."""
+
+    now: float
+    owner: str
+    call_id: int
+    grant: SlotGrant
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotQueued:
+    """The owner has the call in its queue."""
+
+    now: float
+    call_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotDenied:
+    """The owner refused the call; nothing of it was sent."""
+
+    now: float
+    call_id: int
+    refusal: Refusal
--- a/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.calls import WAY_SECONDS
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
     from random import Random
@@ -32,8 +34,6 @@
 # Share of its time after which a call takes one that answers after the target, as
 # long as it answers in time.
 LATE_SHARE = 0.2
-# Time on the way from and to the caller, which the target includes.
-WAY_SECONDS = 0.016
 # Choices closer than this share are taken in turn, so that daemons with the same
 # view do not all choose the same backend server.
 JITTER_SHARE = 0.05
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core.calls import CallTable
 from dotterelgate_core.configuration import ConfigurationState
+from dotterelgate_core.owners import OwnerTable
 from dotterelgate_core.queues import WaitingTable
 from dotterelgate_core.retries import BudgetTable
 from dotterelgate_core.servers import ServerTable
@@ -60,6 +61,7 @@
     retries: BudgetTable = field(default_factory=BudgetTable)
     splits: SplitTable = field(default_factory=SplitTable)
     times: WorkTimes = field(default_factory=WorkTimes)
+    owners: OwnerTable = field(default_factory=OwnerTable)
     handovers: HandoverTable | None = None
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -45,9 +45,10 @@
     """Make the pipeline of everything that is not about one call.
 
     It reads ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
-    ``RegistryReadEnded``, ``RegistryReadFailed``, ``NewsHeard``, ``LoadHeard``,
-    ``HeartbeatHeard``, ``ProbeAnswered`` and ``ControlTicked``. It writes
-    ``ReadRegistry``, ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
+    ``RegistryReadEnded``, ``RegistryReadFailed``, ``ConfigurationReadEnded``,
+    ``ConfigurationReadFailed``, ``NewsHeard``, ``LoadHeard``, ``HeartbeatHeard``,
+    ``ProbeAnswered`` and ``ControlTicked``. It writes ``ReadRegistry``,
+    ``ReadConfiguration``, ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
     """
     return connect(
         _make_configuration_filter(state),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
@@ -10,6 +10,7 @@
 
 from dotterelgate_border.datagrams import ConfigurationNews, Heartbeat, NewsAsked
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.reading import ConfigurationReadEnded, ConfigurationReadFailed
 from dotterelgate_core.store_control import ConfigurationStored
 from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader
 from dotterelgate_daemon.store import StoreRecord, Topic
@@ -23,14 +24,14 @@
     from dotterelgate_daemon.mesh import Mesh
     from dotterelgate_daemon.platform import PlatformClient
     from dotterelgate_daemon.store import StoreCalls
-    from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["ConfigurationFollower"]
 
 logger = structlog.get_logger("store")
 
-# The store holds a read back until something is written, at most so long.
-WAIT_SECONDS = 25.0
+# The store holds a read back until something is written, at most so long. A lost
+# answer is noticed after this and the client's own limit.
+WAIT_SECONDS = 5.0
 # A datagram holds at most 65,507 bytes; parts stay well below.
 PART_BYTES = 32_000
 ASK_SECONDS = 0.5
@@ -45,13 +46,11 @@
         state: DaemonState,
         calls: StoreCalls,
         client: PlatformClient,
-        timers: TimerService,
         mesh: Mesh,
         tell: Callable[[Message], None],
     ) -> None:
         self._state = state
         self._calls = calls
-        self._timers = timers
         self._mesh = mesh
         self._tell = tell
         self._document = b""
@@ -64,12 +63,12 @@
             client=client,
             take=self._take_records,
             listed=lambda keys, end: None,
-            done=self._go_on,
-            failed=self._pause,
+            done=self._end_read,
+            failed=self._fail,
         )
 
-    def start(self) -> None:
-        """Read the configuration, and follow it from then on."""
+    def read(self) -> None:
+        """Read the configuration; if it was read before, wait for a newer one."""
         self._reader.read(wait=WAIT_SECONDS)
 
     def hear(self, message: Datagram) -> None:
@@ -81,13 +80,13 @@
         elif isinstance(message, ConfigurationNews):
             self._take_part(message)
 
-    def _go_on(self) -> None:
+    def _end_read(self) -> None:
         self._dependency.note_answer()
-        self._reader.read(wait=WAIT_SECONDS)
+        self._tell(ConfigurationReadEnded(now=time.monotonic()))
 
-    def _pause(self, reason: str) -> None:
-        pause = self._dependency.note_failure(reason)
-        self._timers.call_after(delay=pause, call=self.start)
+    def _fail(self, reason: str) -> None:
+        self._dependency.note_failure(reason)
+        self._tell(ConfigurationReadFailed(now=time.monotonic(), reason=reason))
 
     def _take_records(self, records: list[StoreRecord]) -> None:
         for record in records:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -124,6 +124,10 @@
             LeavingSeen: lambda order: self.tell_leaving(order),
         }
 
+    def add_sinks(self, sinks: dict[type, Callable[[Message], None]]) -> None:
+        """Let other parts carry out further kinds of orders."""
+        self._sinks.update(sinks)
+
     def take_id(self) -> int:
         """Take the next call id; ids of earlier runs never come again."""
         self._next_id += 1
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -17,11 +17,11 @@
     encode_datagram,
 )
 from dotterelgate_core.loads import LoadReport
+from dotterelgate_core.owners import find_owner, list_owners, select_listeners
 from dotterelgate_core.sharing import (
     HeartbeatHeard,
     LoadHeard,
     ServerLoad,
-    find_relay,
     select_near,
 )
 from dotterelgate_daemon.polling import Watch
@@ -117,24 +117,23 @@
                 self.send(peer.address, far)
 
     def relay(self) -> None:
-        """Tell the loads of the own zone to one daemon of each other zone."""
+        """Tell the loads of the own zone to the owners of each other zone."""
         now = time.monotonic()
         state = self._state
-        if find_relay(state, now, state.zone) != state.name:
-            return
-        loads = [
-            build_far_entry(server, now)
-            for server in state.servers.states.values()
-            if server.server.zone == state.zone and now - server.view.reported_at < FAR_AGE_SECONDS
-        ]
-        if not loads:
-            return
+        zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
+        for service, pool in state.servers.by_service.items():
+            if find_owner(state, service, now) != state.name:
+                continue
+            loads = [build_far_entry(each, now) for each in pool if _is_news(each, state, now)]
+            if loads:
+                self._relay(service, loads, zones, now)
+
+    def _relay(self, service: str, loads: list[LoadEntry], zones: set[str], now: float) -> None:
+        state = self._state
         news = LoadNews(sender=state.name, incarnation=self._incarnation, loads=loads, is_far=True)
         data = encode_datagram(news)
-        zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
         for zone in zones:
-            name = find_relay(state, now, zone)
-            if name in state.peers.listed:
+            for name in list_owners(state, service, now, zone)[:1]:
                 self.send(state.peers.listed[name].address, data)
 
     def greet(self, address: str) -> None:
@@ -196,15 +195,19 @@
         changed = servers.changed | servers.sampled
         now = time.monotonic()
         states = self._state.servers.states
-        loads = [build_load_entry(states[name], now) for name in changed if name in states]
         servers.changed.clear()
         servers.sampled.clear()
-        if not loads:
-            return
-        news = LoadNews(sender=self._state.name, incarnation=self._incarnation, loads=loads)
-        data = encode_datagram(news)
-        for address in self.list_near():
-            self.send(address, data)
+        by_listener: dict[str, list[LoadEntry]] = {}
+        for name in changed:
+            server = states.get(name)
+            if server is None:
+                continue
+            entry = build_load_entry(server, now)
+            for listener in select_listeners(self._state, server.service, now):
+                by_listener.setdefault(listener, []).append(entry)
+        for listener, loads in by_listener.items():
+            news = LoadNews(sender=self._state.name, incarnation=self._incarnation, loads=loads)
+            self.send_message(self._state.peers.listed[listener].address, news)
 
     def _read(self) -> None:
         for _ in range(READS_PER_EVENT):
@@ -252,6 +255,11 @@
     pass
 
 
+def _is_news(server: ServerState, state: DaemonState, now: float) -> bool:
+    is_near = server.server.zone == state.zone
+    return is_near and now - server.view.reported_at < FAR_AGE_SECONDS
+
+
 def build_load_entry(server: ServerState, now: float) -> LoadEntry:
     """Build what peers are told of a backend server, and note that it is told."""
     view = server.view
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/slot_exchange.py
@@ -0,0 +1,145 @@
+"""Questions for slots and their answers, as datagrams between the daemons of a zone."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dotterelgate_border.datagrams import (
+    SlotAnswer,
+    SlotQuestion,
+    SlotRefusal,
+    SlotReturn,
+    SlotWait,
+)
+from dotterelgate_core import slots
+from dotterelgate_core.codes import CODES_BY_NUMBER, Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelgate_border.datagrams import Datagram
+    from dotterelgate_core.pipes import Message
+    from dotterelgate_core.state import DaemonState
+    from dotterelgate_daemon.mesh import Mesh
+
+__all__ = ["SlotExchange"]
+
+logger = structlog.get_logger("slots")
+
+
+class SlotExchange:
+    """Carries the pipeline's orders about slots to other daemons, and theirs to it.
+
+    :param tell: runs a message through the request pipeline
+    """
+
+    def __init__(self, *, state: DaemonState, mesh: Mesh, tell: Callable[[Message], None]) -> None:
+        self._state = state
+        self._mesh = mesh
+        self._tell = tell
+        self.sinks: dict[type, Callable[[Message], None]] = {
+            slots.AskSlot: self._ask,
+            slots.GrantSlot: self._grant,
+            slots.QueueSlot: self._queue,
+            slots.DenySlot: self._deny,
+            slots.WithdrawSlot: self._withdraw,
+        }
+
+    def hear(self, message: Datagram) -> None:
+        """Take a peer's message."""
+        now = time.monotonic()
+        if isinstance(message, SlotQuestion):
+            self._tell(_read_question(message, now))
+        elif isinstance(message, SlotAnswer):
+            self._tell(_read_answer(message, now))
+        elif isinstance(message, SlotWait):
+            self._tell(slots.SlotQueued(now=now, call_id=message.call_id))
+        elif isinstance(message, SlotRefusal):
+            self._take_refusal(message, now)
+        elif isinstance(message, SlotReturn):
+            self._tell(slots.SlotWithdrawn(now=now, call_id=message.call_id))
+
+    def _send(self, name: str, message: Datagram) -> None:
+        peer = self._state.peers.listed.get(name)
+        # A peer that is not known any more gets no answer; it asks another owner.
+        if peer is not None:
+            self._mesh.send_message(peer.address, message)
+
+    def _ask(self, order: slots.AskSlot) -> None:
+        request = order.request
+        question = SlotQuestion(
+            sender=self._state.name,
+            call_id=request.call_id,
+            request_id=request.request_id,
+            service=request.service,
+            route=request.route,
+            work=request.work,
+            waited=request.waited,
+            left=request.left,
+            attempt=request.attempt,
+            avoided=list(request.avoided),
+        )
+        self._send(order.owner, question)
+
+    def _grant(self, order: slots.GrantSlot) -> None:
+        answer = SlotAnswer(
+            sender=self._state.name,
+            call_id=order.call_id,
+            server=order.grant.server,
+            slowdown=order.grant.slowdown,
+            report_age=order.grant.report_age,
+        )
+        self._send(order.asker, answer)
+
+    def _queue(self, order: slots.QueueSlot) -> None:
+        self._send(order.asker, SlotWait(sender=self._state.name, call_id=order.call_id))
+
+    def _deny(self, order: slots.DenySlot) -> None:
+        refusal = SlotRefusal(
+            sender=self._state.name,
+            call_id=order.call_id,
+            code=order.refusal.code.number,
+            reason=order.refusal.reason,
+            retry_after=order.refusal.retry_after,
+        )
+        self._send(order.asker, refusal)
+
+    def _withdraw(self, order: slots.WithdrawSlot) -> None:
+        self._send(order.owner, SlotReturn(sender=self._state.name, call_id=order.call_id))
+
+    def _take_refusal(self, message: SlotRefusal, now: float) -> None:
+        code = CODES_BY_NUMBER.get(message.code)
+        if code is None:
+            logger.warning(
+                "slots: a refusal has an unknown code; it is left unread",
+                code=message.code,
+                sender=message.sender,
+            )
+            return
+        refusal = Refusal(code, message.reason, retry_after=message.retry_after)
+        self._tell(slots.SlotDenied(now=now, call_id=message.call_id, refusal=refusal))
+
+
+def _read_question(message: SlotQuestion, now: float) -> slots.SlotAsked:
+    request = slots.SlotRequest(
+        call_id=message.call_id,
+        request_id=message.request_id,
+        service=message.service,
+        route=message.route,
+        work=message.work,
+        waited=message.waited,
+        left=message.left,
+        attempt=message.attempt,
+        avoided=tuple(message.avoided),
+    )
+    return slots.SlotAsked(now=now, wall=time.time(), asker=message.sender, request=request)
+
+
+def _read_answer(message: SlotAnswer, now: float) -> slots.SlotGranted:
+    grant = slots.SlotGrant(
+        server=message.server, slowdown=message.slowdown, report_age=message.report_age
+    )
+    return slots.SlotGranted(now=now, owner=message.sender, call_id=message.call_id, grant=grant)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -15,7 +15,7 @@
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.peers import PeerTable
-from dotterelgate_core.reading import ReadingState, ReadRegistry
+from dotterelgate_core.reading import ReadConfiguration, ReadingState, ReadRegistry
 from dotterelgate_core.registry import RegistryState
 from dotterelgate_core.retries import BudgetTable
 from dotterelgate_core.splits import SplitTable
@@ -31,11 +31,13 @@
 from dotterelgate_daemon.platform import PlatformClient
 from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.running import Daemon
+from dotterelgate_daemon.slot_exchange import SlotExchange
 from dotterelgate_daemon.stopping import GracefulStop
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelgate_border.datagrams import Datagram
     from dotterelgate_border.settings import StoreDaemonSettings
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_daemon.dialect import Dialect
@@ -149,6 +151,7 @@
         self._base = base
         self._sinks: dict[type, Callable[[Message], None]] = {
             ReadRegistry: lambda order: self.registry.read(),
+            ReadConfiguration: lambda order: self.configuration.read(),
             Probe: prober.probe,
             ConfigurationChanged: self._change_configuration,
             SlotFreed: free,
@@ -169,7 +172,6 @@
         timers.subscribe(interval=CONTROL_TICK_SECONDS, call=self._tick)
         timers.subscribe(interval=HEARTBEAT_SECONDS, call=self.mesh.beat)
         timers.subscribe(interval=RELAY_SECONDS, call=self.mesh.relay)
-        timers.call_after(delay=0.0, call=self.configuration.start)
         timers.call_after(delay=0.0, call=self.directory.start)
 
     def _tick(self) -> None:
@@ -223,7 +225,6 @@
         state=state,
         calls=calls,
         client=client,
-        timers=base.timers,
         mesh=mesh,
         tell=control.run,
     )
@@ -243,9 +244,13 @@
         mesh=mesh,
     )
 
-    def take_news(message: object) -> None:
-        control.configuration.hear(message)  # type: ignore[arg-type]
-        control.registry.hear(message)  # type: ignore[arg-type]
+    exchange = SlotExchange(state=state, mesh=mesh, tell=base.gateway.run)
+    base.gateway.add_sinks(exchange.sinks)
+
+    def take_news(message: Datagram) -> None:
+        exchange.hear(message)
+        control.configuration.hear(message)
+        control.registry.hear(message)
 
     mesh.take_news = take_news
     base.gateway.ran = mesh.note_changes
