Soak the real programs with random faults from outside; trust idle connections less once one was dropped

The soak (features/soak.py, make soak): store, backend servers and daemons as processes, a loopback proxy that delays, resets, cuts one way or silences connections, signals that kill, pause, stop and restart, a store that is down, slow, loses answers or history. It checks writes run once, true refusals, whole answers, planned stops, leaving, versions and daemons that end by themselves. Idle connections: backend servers of the larger sites drop them without notice; a write sent on one is reset and its outcome unknown. One that is reset within 50 ms of being used again lowers the time that idle ones are trusted to half for 10 s (two scenarios). Among near equal choices the owner takes a backend server to which the asking daemon likely has a connection still.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core border daemon operator bench
 STAMP := $(VENV)/.installed
 
-.PHONY: bench demo docs format lint slopes test
+.PHONY: bench demo docs format lint slopes soak test
 
 $(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/dotterelgate-$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,10 @@
 test: $(STAMP)
 	$(BIN)/python features/run.py
 
+soak: $(STAMP)
+	$(BIN)/python features/soak.py --failed
+	$(BIN)/python features/soak.py --seeds 50 --seed $(shell date +%s)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check packages features platform
 	$(BIN)/ruff check packages features platform
--- a/features/answers.feature
+++ b/features/answers.feature
@@ -92,3 +92,13 @@
   Scenario: A connection that ends at any byte of the head was not read as a request
     Given an exchange whose connection ends after each number of bytes of its request
     Then it says sent exactly when the whole head had left
+
+  Scenario: After an idle connection was found dropped, others are trusted less
+    Given a pool of two connections that have been idle for 2 s
+    When the backend server resets the one that is used again, at once
+    Then the next request gets a new connection
+
+  Scenario: A connection that is lost while its request is worked on says nothing of idle ones
+    Given a pool of two connections that have been idle for 2 s
+    When the backend server resets the one that is used again, after 80 ms
+    Then the next request uses the other one
--- /dev/null
+++ b/features/soaking/callers.py
@@ -0,0 +1,124 @@
+"""Callers of the soak: they keep their connections and note what they were told."""
+
+from __future__ import annotations
+
+import http.client
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+
+__all__ = ["Callers", "Told"]
+
+TIMEOUT_SECONDS = 2.0
+PAUSE_SECONDS = (0.0, 0.03)
+HOST = "orders.example"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Told:
+    """One request and what its caller was told.
+
+    :param status: ``None`` when the connection ended without a whole answer
+    :param problem: why the answer cannot be right, if it cannot
+    """
+
+    request_id: str
+    daemon: str
+    path: str
+    begun: float
+    ended: float
+    status: int | None
+    problem: str = ""
+
+
+@dataclass
+class Callers:
+    """Threads that send requests through all daemons.
+
+    :param addresses: where each daemon serves callers
+    """
+
+    addresses: dict[str, str]
+    seed: int
+    count: int
+    told: list[Told] = field(default_factory=list)
+    _stopping: threading.Event = field(default_factory=threading.Event)
+    _threads: list[threading.Thread] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Begin to call."""
+        for number in range(self.count):
+            thread = threading.Thread(target=self._call, args=(number,))
+            thread.start()
+            self._threads.append(thread)
+
+    def stop(self) -> None:
+        """Let each end its request, then end."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _call(self, number: int) -> None:
+        chance = random.Random(self.seed * 1000 + number)
+        connection: http.client.HTTPConnection | None = None
+        daemon = ""
+        sent = 0
+        while not self._stopping.is_set():
+            if connection is None:
+                daemon = chance.choice(sorted(self.addresses))
+                connection = http.client.HTTPConnection(
+                    self.addresses[daemon], timeout=TIMEOUT_SECONDS + 1.0
+                )
+            sent += 1
+            path = chance.choice(("/write/x", "/write/x", "/read/y"))
+            request_id = f"s{self.seed}-{number}-{sent}"
+            told = send(connection, daemon, path, request_id)
+            self.told.append(told)
+            if told.status is None:
+                connection.close()
+                connection = None
+            time.sleep(chance.uniform(*PAUSE_SECONDS))
+
+
+def send(connection: http.client.HTTPConnection, daemon: str, path: str, request_id: str) -> Told:
+    """Send one request and check its answer."""
+    begun = time.monotonic()
+    method = "POST" if path.startswith("/write") else "GET"
+    headers = {
+        "host": HOST,
+        "request-id": request_id,
+        "request-deadline-ms": str(int(TIMEOUT_SECONDS * 1000)),
+    }
+    status: int | None = None
+    problem = ""
+    try:
+        body = b"x" if method == "POST" else None
+        connection.request(method, path, body=body, headers=headers)
+        answer = connection.getresponse()
+        text = answer.read().decode("utf-8", "replace")
+        status = answer.status
+        if status == http.HTTPStatus.OK:
+            problem = check_answer(answer, text, f"{method} {path}", request_id)
+    except (OSError, http.client.HTTPException):
+        status = None
+    return Told(
+        request_id=request_id,
+        daemon=daemon,
+        path=path,
+        begun=begun,
+        ended=time.monotonic(),
+        status=status,
+        problem=problem,
+    )
+
+
+def check_answer(answer: http.client.HTTPResponse, text: str, line: str, request_id: str) -> str:
+    """Check that a success is the backend server's whole answer to this request."""
+    if answer.headers["request-id"] != request_id:
+        return f"the answer belongs to {answer.headers['request-id']}"
+    if not answer.headers["server-stamp"]:
+        return "a success without the backend server's stamp"
+    if text != f"{answer.headers['server-stamp']} {line}":
+        return f"the body is {text!r}"
+    return ""
--- /dev/null
+++ b/features/soaking/schedule.py
@@ -0,0 +1,304 @@
+"""One run of the soak: programs, callers, and faults by a random schedule."""
+
+from __future__ import annotations
+
+import json
+import random
+import shutil
+import signal
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import httpx
+from stand_ins.fleet import PlatformPath
+
+from soaking.callers import HOST, Callers
+from soaking.promises import Evidence, Span, check_promises
+from soaking.proxy import FaultProxy, LinkFault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["SoakRun"]
+
+SERVERS = 4
+CALLERS = 8
+# Calm time in which everything must be well again: a lost answer of the store is given
+# up after 6.2 s, then it is asked again.
+CALM_SECONDS = 8.0
+POLL_SECONDS = 0.05
+LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
+
+
+@dataclass
+class SoakRun:
+    """Real programs under random faults.
+
+    :param seconds: time with faults
+    :param daemons: number of daemons
+    """
+
+    seed: int
+    seconds: float
+    daemons: int = 3
+    evidence: Evidence = field(default_factory=Evidence)
+    notes: list[str] = field(default_factory=list)
+
+    def run(self) -> list[str]:
+        """Run it; returns the promises that were broken."""
+        self._random = random.Random(self.seed)
+        self._proxy = FaultProxy()
+        self._platform = PlatformPath()
+        self._pending: list[tuple[float, Callable[[], None]]] = []
+        self._version = 0
+        self._runs: dict[str, int] = {}
+        self._down: set[str] = set()
+        try:
+            self._start()
+            self._disturb()
+            self._recover()
+        finally:
+            self._callers.stop()
+            if not self._platform.stand_ins.has_ended():
+                self._platform.stand_ins.thaw()
+            self.evidence.told = self._callers.told
+            self.evidence.arrivals = self._platform.read_arrivals()
+            self._platform.stop()
+            self._proxy.stop()
+        broken = check_promises(self.evidence)
+        if not broken:
+            shutil.rmtree(self._platform.folder)
+        return broken
+
+    def _start(self) -> None:
+        platform = self._platform
+        platform.start(servers=SERVERS, proxy=self._proxy.add)
+        self._publish()
+        names = [f"front-{number}" for number in range(1, self.daemons + 1)]
+        for name in names:
+            store = self._proxy.add(f"store of {name}", platform.store)
+            platform.start_daemon(name, store=store)
+            self._runs[name] = 1
+        self._callers = Callers(
+            addresses={name: platform.settings[name]["callers"] for name in names},
+            seed=self.seed,
+            count=CALLERS,
+        )
+        for name in names:
+            platform.wait_ready(name)
+        self._callers.start()
+
+    def _disturb(self) -> None:
+        actions = (
+            self._kill,
+            self._kill_all,
+            self._pause,
+            self._stop,
+            self._fault_link,
+            self._fault_link,
+            self._fault_store,
+            self._pause_stand_ins,
+            self._leave,
+            self._publish,
+        )
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            self._random.choice(actions)()
+            # Some faults come in series, others overlap.
+            self._pass(self._random.choice((0.05, 0.3, 1.0)))
+
+    def _pass(self, seconds: float) -> None:
+        """Let time pass, and undo what is due."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            now = time.monotonic()
+            due = [each for each in self._pending if each[0] <= now]
+            self._pending = [each for each in self._pending if each[0] > now]
+            for _, call in due:
+                call()
+            self._look_at_versions()
+            time.sleep(POLL_SECONDS)
+
+    def _recover(self) -> None:
+        while self._pending:
+            self._pass(POLL_SECONDS)
+        self._publish()
+        self._pass(CALM_SECONDS)
+        for name in self._runs:
+            versions = self.evidence.versions.get(self._name_run(name), [])
+            if not versions or versions[-1] != self._version:
+                self.evidence.late.append(
+                    f"{name} does not serve version {self._version} when all is calm: {versions}"
+                )
+
+    def _name_run(self, name: str) -> str:
+        return f"{name} run {self._runs[name]}"
+
+    def _look_at_versions(self) -> None:
+        """Ask each daemon for a route that only the newest version has."""
+        for name in self._runs:
+            if name in self._down:
+                continue
+            process = self._platform.daemons[name]
+            if process.has_ended():
+                self.evidence.ended.append(self._name_run(name))
+                self._down.add(name)
+                continue
+            self._ask_version(name)
+
+    def _ask_version(self, name: str) -> None:
+        seen = self.evidence.versions.setdefault(self._name_run(name), [])
+        version = self._random.choice((self._version, max(1, self._version - 1)))
+        url = f"http://{self._platform.settings[name]['callers']}/only-{version}/x"
+        headers = {"host": HOST, "request-id": f"v{time.monotonic_ns()}"}
+        try:
+            status = httpx.get(url, headers=headers, timeout=0.3).status_code
+        except httpx.TransportError:
+            return
+        if status == httpx.codes.OK:
+            seen.append(version)
+
+    def _later(self, seconds: float, call: Callable[[], None]) -> None:
+        self._pending.append((time.monotonic() + seconds, call))
+
+    def _note(self, subject: str, seconds: float, what: str) -> None:
+        now = time.monotonic()
+        self.notes.append(f"{now:.2f} {subject}: {what} for {seconds:.2f} s")
+        self.evidence.faults.append(
+            Span(subject=subject, begun=now, ended=now + seconds, what=what)
+        )
+
+    def _choose_daemon(self) -> str | None:
+        up = sorted(set(self._runs) - self._down)
+        return self._random.choice(up) if up else None
+
+    def _kill(self) -> None:
+        name = self._choose_daemon()
+        if name is None:
+            return
+        seconds = self._random.uniform(0.1, 1.5)
+        self._note(name, seconds, "killed")
+        self._down.add(name)
+        self._platform.daemons[name].kill()
+        self._later(seconds, lambda: self._start_again(name))
+
+    def _kill_all(self) -> None:
+        for name in sorted(set(self._runs) - self._down):
+            self._note(name, 0.5, "killed with all")
+            self._down.add(name)
+            self._platform.daemons[name].kill()
+            self._later(0.5, lambda name=name: self._start_again(name))
+
+    def _start_again(self, name: str) -> None:
+        self._runs[name] += 1
+        self._platform.daemons[name].start()
+        self._down.discard(name)
+
+    def _pause(self) -> None:
+        name = self._choose_daemon()
+        if name is None:
+            return
+        seconds = self._random.uniform(0.2, 2.5)
+        self._note(name, seconds, "paused")
+        self._down.add(name)
+        process = self._platform.daemons[name]
+        process.freeze()
+
+        def go_on() -> None:
+            process.thaw()
+            self._down.discard(name)
+
+        self._later(seconds, go_on)
+
+    def _stop(self) -> None:
+        name = self._choose_daemon()
+        if name is None:
+            return
+        process = self._platform.daemons[name]
+        now = time.monotonic()
+        limit = self._platform.settings[name]["stop_limit"]
+        self.notes.append(f"{now:.2f} {name}: told to stop")
+        self.evidence.stops.append(
+            Span(subject=name, begun=now, ended=now + limit, what="told to stop")
+        )
+        self._down.add(name)
+        process.send(signal.SIGTERM)
+
+        def look() -> None:
+            if process.has_ended():
+                self._start_again(name)
+            elif time.monotonic() > now + limit + 1.0:
+                self.evidence.late.append(f"{name} did not end within {limit} s of its stop")
+                process.kill()
+                self._start_again(name)
+            else:
+                self._later(0.1, look)
+
+        self._later(0.1, look)
+
+    def _fault_link(self) -> None:
+        name = self._random.choice(sorted(self._proxy.links))
+        fault = self._random.choice(LINK_FAULTS)
+        seconds = self._random.uniform(0.2, 2.5)
+        self._note(name, seconds, fault.value)
+        self._proxy.set_fault(name, fault)
+        self._later(seconds, lambda: self._proxy.set_fault(name, LinkFault.NONE))
+
+    def _fault_store(self) -> None:
+        faults = self._random.choice(
+            ({"down": True}, {"slow_seconds": 0.4}, {"lost_share": 0.4}, {"forget": True})
+        )
+        seconds = self._random.uniform(0.3, 3.0)
+        self._note("store", seconds, json.dumps(faults))
+        if "forget" in faults:
+            self._platform.ask_store("/forget", {})
+            return
+        self._platform.ask_store("/faults", faults)
+        self._later(seconds, lambda: self._platform.ask_store("/faults", {}))
+
+    def _pause_stand_ins(self) -> None:
+        seconds = self._random.uniform(0.1, 1.0)
+        self._note("all backend servers and the store", seconds, "paused")
+        self._platform.stand_ins.freeze()
+        # Nothing else can be asked of them meanwhile.
+        time.sleep(seconds)
+        self._platform.stand_ins.thaw()
+
+    def _leave(self) -> None:
+        name = f"i-{self._random.randint(1, SERVERS)}"
+        now = time.monotonic()
+        if any(each.subject == name and each.ended > now for each in self.evidence.leavings):
+            return
+        seconds = self._random.uniform(2.5, 5.0)
+        self.notes.append(f"{now:.2f} {name}: leaves for {seconds:.2f} s")
+        self._platform.drain(name)
+        now = time.monotonic()
+        self.evidence.leavings.append(
+            Span(subject=name, begun=now, ended=now + seconds, what="leaves")
+        )
+        self._later(seconds + 0.1, lambda: self._platform.settle(name))
+
+    def _publish(self) -> None:
+        self._version += 1
+        self.notes.append(f"{time.monotonic():.2f} version {self._version} is written")
+        kinds = {"/write/": "unsafe", "/read/": "safe", f"/only-{self._version}/": "safe"}
+        document = {
+            "config-version": self._version,
+            "routes": [
+                {
+                    "name": prefix.strip("/"),
+                    "hostname": HOST,
+                    "path-prefix": prefix,
+                    "route-type": kind,
+                    "timeout": 2.0,
+                    "target-latency": 0.5,
+                    "priority": 1,
+                    "service": "stock",
+                    "max-attempts": 3,
+                }
+                for prefix, kind in kinds.items()
+            ],
+            "services": [{"name": "stock", "health-path": "/health", "max-conns": 50}],
+        }
+        self._platform.write(json.dumps(document).encode("utf-8"))
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,63 @@
+"""Steps about the soak with random faults."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from soaking.callers import Told
+from soaking.promises import Evidence, Span, check_promises
+from soaking.schedule import SoakRun
+
+LEAVING = "i-1"
+
+
+@when("the soak runs seed {seed:d} for {seconds:d} seconds")
+def soak(context, seed, seconds):
+    context.soak = SoakRun(seed=seed, seconds=seconds)
+    context.broken = context.soak.run()
+
+
+@then("no promise was broken")
+def check_none(context):
+    assert not context.broken, [*context.broken, *context.soak.notes]
+
+
+@then("requests were served")
+def check_served(context):
+    assert any(each.status == 200 for each in context.soak.evidence.told)
+
+
+def tell(request_id, status, *, daemon="front-1"):
+    """Build what the caller of a write was told."""
+    return Told(
+        request_id=request_id,
+        daemon=daemon,
+        path="/write/x",
+        begun=100.0,
+        ended=100.2,
+        status=status,
+    )
+
+
+@given("evidence of a write that ran twice, one told 503 that ran and one cut by a planned stop")
+def collect_requests(context):
+    context.evidence = Evidence(
+        told=[tell("twice", 200), tell("promised", 503), tell("cut", None)],
+        arrivals={
+            "i-2": [("twice", 100.0), ("promised", 100.0), ("cut", 100.0)],
+            "i-3": [("twice", 100.1)],
+        },
+        stops=[Span(subject="front-1", begun=99.9, ended=104.0, what="told to stop")],
+    )
+
+
+@given("evidence of late work for a leaving backend server and of an older configuration")
+def collect_others(context):
+    context.evidence.arrivals[LEAVING] = [("late", 52.5)]
+    context.evidence.leavings = [Span(subject=LEAVING, begun=50.0, ended=54.0, what="leaves")]
+    context.evidence.versions = {"front-1 run 1": [4, 5, 4]}
+
+
+@then("each of the {count:d} is told as a broken promise")
+def check_told(context, count):
+    broken = check_promises(context.evidence)
+    assert len(broken) == count, broken
--- a/features/subjects/exchange.py
+++ b/features/subjects/exchange.py
@@ -4,10 +4,11 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_daemon.exchanges import Exchange
+from dotterelgate_daemon.exchanges import Exchange, PoolTable
 
 HEAD = b"POST /orders/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
 BODY = b"body"
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
 class FakeStream:
@@ -42,3 +43,78 @@
         exchange.start(FakeStream(takes))
         exchange.fail(Refusal(codes.ANSWER_LOST, "lost"))
         return ends[0].sent
+
+
+class FakeStreams:
+    """Opens streams that take everything and remember what to call."""
+
+    def __init__(self):
+        self.opened = []
+
+    def open(self, *, address, ready, receive, lost):
+        """Open one; it is established at once."""
+        stream = OpenStream(receive=receive, lost=lost)
+        self.opened.append((stream, ready))
+        return stream
+
+    def establish(self):
+        """Let what was opened be established."""
+        opened, self.opened = self.opened, []
+        for _, ready in opened:
+            ready()
+        return [stream for stream, _ in opened]
+
+
+class OpenStream(FakeStream):
+    """A stream that takes everything."""
+
+    def __init__(self, *, receive, lost):
+        super().__init__(takes=1_000_000)
+        self.receive = receive
+        self.lost = lost
+        self.is_open = True
+        self.is_full = False
+        self.ended_in_order = False
+        self.drained = None
+
+    def close(self):
+        """Close it."""
+        self.is_open = False
+
+    def reset(self):
+        """Let the other side reset it."""
+        self.is_open = False
+        self.lost()
+
+
+class PoolSubject:
+    """A pool whose two connections have been idle for a while."""
+
+    def __init__(self, *, idle):
+        self.streams = FakeStreams()
+        self.pool = PoolTable(streams=self.streams).find("10.0.0.1:80", limit=10)
+        self.ends = []
+        for _ in range(2):
+            self.ask()
+        for stream in self.streams.establish():
+            stream.receive(ANSWER)
+        for connection in self.pool.idle:
+            connection.idle_since -= idle
+
+    def ask(self):
+        """Ask one thing; returns whether a new connection was opened for it."""
+        exchange = Exchange(
+            method="GET",
+            head=b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
+            body=b"",
+            body_ended=True,
+            chunked=False,
+            begin=lambda head: setattr(exchange, "idle_seconds", 10.0),
+            part=lambda part: None,
+            whole=lambda: None,
+            failed=self.ends.append,
+        )
+        before = len(self.streams.opened)
+        self.pool.run(exchange, fresh=False)
+        self.exchange = exchange
+        return len(self.streams.opened) > before
--- a/packages/dotterelgate-core/src/dotterelgate_core/loads.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/loads.py
@@ -21,6 +21,9 @@
 # What was learned of a backend server fades, so that it is tried again.
 FADING_SECONDS = 3.0
 PACE_LIMIT = 6.0
+# Connections are used again for about so long: the platform's backend servers close idle
+# ones after 10 s.
+CONNECTED_SECONDS = 8.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,6 +55,7 @@
     :param learned_at: monotonic second of the last change of the two
     :param is_untold: whether the report is not told to peers yet
     :param untold_failure: whether a failure is not told to peers yet
+    :param granted_at: monotonic second at which each peer's last request was granted
     :param untold_pace: newest ratio that is not told to peers yet
     """
 
@@ -65,6 +69,7 @@
     is_untold: bool = False
     untold_failure: bool = False
     untold_pace: float | None = None
+    granted_at: dict[str, float] = field(default_factory=dict)
 
     def count_others(self) -> int:
         """Count the requests at the backend server that are not this daemon's."""
@@ -94,6 +99,12 @@
         """Count one request more of a peer than it said."""
         count, _ = self.peers.get(peer, (0, now))
         self.peers[peer] = (count + 1, now)
+        self.granted_at[peer] = now
+
+    def is_connected(self, peer: str, now: float) -> bool:
+        """Tell whether a peer has an idle connection left of an earlier request, most likely."""
+        busy = peer in self.peers
+        return not busy and now - self.granted_at.get(peer, float("-inf")) < CONNECTED_SECONDS
 
     def forget_old(self, now: float) -> bool:
         """Let go of counts that nobody repeated.
--- a/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.calls import WAY_SECONDS
+from dotterelgate_core.loads import CONNECTED_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -34,6 +35,8 @@
 # Share of its time after which a call takes one that answers after the target, as
 # long as it answers in time.
 LATE_SHARE = 0.2
+# A new connection costs both sides some milliseconds.
+UNCONNECTED_FACTOR = 1.1
 # Choices closer than this share are taken in turn, so that daemons with the same
 # view do not all choose the same backend server.
 JITTER_SHARE = 0.05
@@ -55,6 +58,8 @@
         for state in states:
             factor = estimate_factor(state, now, usual=usual)
             cost = factor * weigh_detours(state, now, zone=zone)
+            if not _is_connected(state, call, now):
+                cost *= UNCONNECTED_FACTOR
             cost *= 1.0 + JITTER_SHARE * random.random()
             if cost < least:
                 best, least, best_factor = state, cost, factor
@@ -63,6 +68,13 @@
     return choose
 
 
+def _is_connected(state: ServerState, call: CallState, now: float) -> bool:
+    """Tell whether the daemon that has the call likely has an idle connection there."""
+    if call.asker is not None:
+        return state.view.is_connected(call.asker, now)
+    return not state.in_flight and now - state.used_at < CONNECTED_SECONDS
+
+
 def _is_good_enough(call: CallState, factor: float, now: float) -> bool:
     """Tell whether to take the best backend server now rather than wait for another."""
     if factor <= ACCEPTED_FACTOR:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import structlog
+
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
 from dotterelgate_daemon.codec import LAST_CHUNK, AnswerReader, encode_chunk
@@ -18,10 +20,20 @@
 
 __all__ = ["Exchange", "ExchangeEnd", "Pool", "PoolTable"]
 
+logger = structlog.get_logger("pools")
+
 REUSE_FOR_WRITES_SECONDS = 0.5
 # A connection is not used again this long before the server said it would close it;
 # the request could cross the close on its way.
 CLOSE_MARGIN_SECONDS = 1.0
+# After an idle connection turned out to be dropped, others are trusted for half of the
+# time that it was idle, but not less than this.
+LEAST_TRUST_SECONDS = 0.1
+# The reset of a dropped connection comes back at once; a later loss has other causes.
+RESET_SECONDS = 0.05
+# Backend servers that drop idle connections early do so for some seconds (the platform's
+# site files: 6 to 7 s).
+DISTRUST_SECONDS = 10.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,6 +95,8 @@
             takes_unframed=takes_unframed,
         )
         self.idle_seconds: float | None = None
+        self.has_answered = False
+        self.started_at = 0.0
         self._is_over = False
         self._is_whole = False
         self._base = 0
@@ -92,6 +106,7 @@
     def start(self, stream: Stream) -> None:
         """Send the request on an established stream."""
         self.stream = stream
+        self.started_at = time.monotonic()
         self._base = stream.sent_bytes
         first = bytes(self._first)
         data = self._head
@@ -132,6 +147,7 @@
         """Read bytes of the answer."""
         if self._is_over:
             return
+        self.has_answered = True
         self._reader.feed(data)
         if self._is_whole:
             self._complete()
@@ -186,6 +202,36 @@
     exchange: Exchange | None = None
     idle_since: float = 0.0
     idle_seconds: float | None = None
+    was_idle: float | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class IdleTrust:
+    """How long idle connections are taken to be open still, over all pools.
+
+    Backend servers may drop idle connections without notice; what is sent next is
+    reset, and whether it ran is not known then.
+
+    :param limit: seconds, infinite while none was found dropped
+    :param until: monotonic second until which the limit holds
+    """
+
+    limit: float = float("inf")
+    until: float = float("-inf")
+
+    def note_dropped(self, idle: float, now: float) -> bool:
+        """Learn from a connection that was dropped after ``idle`` seconds.
+
+        :returns: whether idle connections are trusted less than before
+        """
+        before = self.find_limit(now)
+        self.limit = min(before, max(LEAST_TRUST_SECONDS, idle / 2))
+        self.until = now + DISTRUST_SECONDS
+        return self.limit < before
+
+    def find_limit(self, now: float) -> float:
+        """Find the seconds after which an idle connection is not used again."""
+        return self.limit if now < self.until else float("inf")
 
 
 @dataclass(kw_only=True)
@@ -193,11 +239,13 @@
     """Connections to one address.
 
     :param limit: connections open at once at most
+    :param trust: how long idle connections are used again
     """
 
     address: str
     streams: StreamService
     limit: int
+    trust: IdleTrust = field(default_factory=IdleTrust)
     idle: list[_Connection] = field(default_factory=list)
     open_count: int = 0
 
@@ -228,8 +276,11 @@
     def _take_idle(self, *, fresh: bool) -> _Connection | None:
         while self.idle:
             connection = self.idle.pop()
-            idle = time.monotonic() - connection.idle_since
-            if idle <= self._limit_idle(connection, fresh=fresh):
+            now = time.monotonic()
+            idle = now - connection.idle_since
+            limit = self._limit_idle(connection, fresh=fresh)
+            if idle <= min(limit, self.trust.find_limit(now)):
+                connection.was_idle = idle
                 return connection
             self._discard(connection)
         return None
@@ -299,24 +350,39 @@
         if connection.exchange is None:
             return
         exchange, connection.exchange = connection.exchange, None
+        self._learn_trust(connection, exchange)
         in_order = connection.stream is not None and connection.stream.ended_in_order
         word = "closed" if in_order else "reset or lost"
         refusal = Refusal(codes.ANSWER_LOST, f"{self.address} {word} the connection")
         exchange.lose(refusal, in_order=in_order)
 
+    def _learn_trust(self, connection: _Connection, exchange: Exchange) -> None:
+        idle = connection.was_idle
+        now = time.monotonic()
+        if idle is None or exchange.has_answered or now - exchange.started_at > RESET_SECONDS:
+            return
+        if self.trust.note_dropped(idle, now):
+            logger.info(
+                "pools: an idle connection had been dropped; idle ones are trusted less",
+                address=self.address,
+                idle_seconds=round(idle, 3),
+                trusted_seconds=round(self.trust.limit, 3),
+            )
+
 
 class PoolTable:
     """Pools by address."""
 
     def __init__(self, *, streams: StreamService) -> None:
         self._streams = streams
+        self._trust = IdleTrust()
         self._pools: dict[str, Pool] = {}
 
     def find(self, address: str, *, limit: int) -> Pool:
         """Find the pool of an address, making it on first use."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = Pool(address=address, streams=self._streams, limit=limit)
+            pool = Pool(address=address, streams=self._streams, limit=limit, trust=self._trust)
             self._pools[address] = pool
         pool.limit = limit
         return pool
