--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -47,3 +47,8 @@
     Given the platform with 2 backend servers and 2 daemons
     When front-1 is killed and started again beside a slow store while requests come without pause
     Then each request that front-1 took was answered by a backend server
+
+  Scenario: An address that is in use is named
+    Given the platform with 1 backend servers and no configuration
+    When front-1 starts while an outgoing connection holds its port
+    Then it ends and names the address that is in use
--- a/features/soaking/proxy.py
+++ b/features/soaking/proxy.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from dotterelgate_bench.fleet import find_free_address
+from dotterelgate_daemon.streams import bind_to
+
 __all__ = ["FaultProxy", "Link", "LinkFault"]
 
 READ_BYTES = 65_536
@@ -56,9 +59,10 @@
     def add(self, name: str, target: str) -> str:
         """Add a link; returns the address that stands for the target."""
         link = Link(name=name, target=target)
+        link.address = find_free_address()
         sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        link.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bind_to(sock, link.address)
 
         async def serve() -> None:
             await asyncio.start_server(lambda r, w: self._take(link, r, w), sock=sock)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 import threading
 import time
 from collections import Counter
@@ -239,3 +240,26 @@
     text = process.log_path.read_text(encoding="utf-8")
     assert "front-1.json: store: must be an IPv4 number and a port" in text, text
     assert "'nowhere'" in text, text
+
+
+@when("front-1 starts while an outgoing connection holds its port")
+def start_beside_connection(context):
+    platform = context.platform
+    platform.start_daemon("front-1")
+    platform.daemons["front-1"].kill()
+    context.taken = platform.settings["front-1"]["callers"]
+    host, port = context.taken.split(":")
+    store_host, store_port = platform.store.split(":")
+    holder = socket.create_connection(
+        (store_host, int(store_port)), source_address=(host, int(port))
+    )
+    context.endings.append(holder.close)
+    platform.daemons["front-1"].start()
+
+
+@then("it ends and names the address that is in use")
+def check_address_named(context):
+    process = context.platform.daemons["front-1"]
+    wait_until(process.has_ended, seconds=10, what="front-1 ends")
+    text = process.log_path.read_text(encoding="utf-8")
+    assert f"{context.taken}: Address already in use" in text, text
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +26,7 @@
 START_SECONDS = 15.0
 STOP_SECONDS = 5.0
 POLL_SECONDS = 0.02
+LOWEST_PORT, HIGHEST_PORT = 12_000, 32_000
 
 
 def wait_until(condition: Callable[[], bool], *, seconds: float, what: str) -> float:
@@ -41,10 +44,17 @@
 
 
 def find_free_address() -> str:
-    """Find a loopback address that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Find a loopback address that nothing listens on.
+
+    The kernel gives ports from 32768 on to outgoing connections; one of those could be
+    taken while the process that is to listen on it is down.
+    """
+    chance = random.SystemRandom()
+    while True:
+        port = chance.randrange(LOWEST_PORT, HIGHEST_PORT)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 @dataclass(kw_only=True)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -25,6 +25,7 @@
     select_near,
 )
 from dotterelgate_daemon.polling import Watch
+from dotterelgate_daemon.streams import bind_to
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -168,10 +169,9 @@
 
     @staticmethod
     def _bind(address: str) -> socket.socket:
-        host, port = address.rsplit(":", 1)
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind((host, int(port)))
+        bind_to(sock, address)
         return sock
 
     def _build_heartbeat(self, *, counts: bool, answers: bool = False) -> Heartbeat:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -16,7 +16,7 @@
 
     from dotterelgate_daemon.polling import DirectPoller
 
-__all__ = ["Stream", "StreamService"]
+__all__ = ["Stream", "StreamService", "bind_to"]
 
 logger = structlog.get_logger("streams")
 
@@ -31,6 +31,18 @@
 UNACKNOWLEDGED_MILLISECONDS = 3000
 
 
+def bind_to(sock: socket.socket, address: str) -> None:
+    """Bind a socket to ``IP:port``.
+
+    :raises OSError: with the address, when it cannot be used
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        sock.bind((host, int(port)))
+    except OSError as error:
+        raise OSError(error.errno, f"{address}: {error.strerror}") from error
+
+
 def set_options(sock: socket.socket) -> None:
     """Send small writes at once, and notice a silent other side."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -200,10 +212,9 @@
 
         :raises OSError: when the address cannot be bound
         """
-        host, port = address.rsplit(":", 1)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, int(port)))
+        bind_to(sock, address)
         sock.listen(BACKLOG)
         sock.setblocking(False)
         return sock
