--- a/features/soaking/proxy.py
+++ b/features/soaking/proxy.py
@@ -105,10 +105,12 @@
             reset(writer)
             return
         link.writers.add(far_writer)
-        await asyncio.gather(
-            pump(link, reader, far_writer, DROPS_TO_TARGET),
-            pump(link, far_reader, writer, DROPS_TO_CALLER),
-        )
+        # The proxy's end cancels both directions.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                pump(link, reader, far_writer, DROPS_TO_TARGET),
+                pump(link, far_reader, writer, DROPS_TO_CALLER),
+            )
         link.writers -= {writer, far_writer}
 
 
