Count lost owners with the call

Cause: the count of owners that a call was tried at stayed after the call had ended elsewhere, one entry for each such call for as long as the daemon ran (found by reading). Change: it stands with the call's own state and ends with it.

--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -58,11 +58,9 @@
     """Calls that wait for an owner's answer.
 
     :param questions: by call id
-    :param owners_asked: owners that a call was tried at, by call id
     """
 
     questions: dict[int, Question] = field(default_factory=dict)
-    owners_asked: dict[int, int] = field(default_factory=dict)
 
 
 def make_asking_filter(
@@ -108,7 +106,7 @@
     is_local = call_state.asker is not None or owner == state.name
     if is_local or not policies[service.policy].granted:
         return [routed]
-    if asking.owners_asked.get(routed.call.id, 0) >= OWNERS_LIMIT:
+    if call_state.lost_owners >= OWNERS_LIMIT:
         return [routed]
     pool = state.servers.by_service.get(service.name, [])
     if not any(each.is_eligible(routed.now) for each in pool):
@@ -150,7 +148,7 @@
     if server is None or not server.is_eligible(granted.now):
         state.servers.changed.add(name)
         return _ask_again(state, asking, question, call_state, name, granted.now)
-    _forget(asking, granted.call_id)
+    del asking.questions[granted.call_id]
     facts = {
         "owner": granted.owner,
         "slowdown": granted.grant.slowdown,
@@ -184,7 +182,7 @@
     if denied.refusal.code in (codes.NO_CONFIGURATION, codes.NO_SERVER):
         # This daemon knows of a route and of backend servers; the owner lags behind.
         return _choose_here(asking, call_state, denied.now, denied.refusal.reason)
-    _forget(asking, denied.call_id)
+    del asking.questions[denied.call_id]
     call_state.queued = False
     decision = Decision(
         part="asking",
@@ -202,7 +200,7 @@
     for call_id, question in list(asking.questions.items()):
         call_state = state.calls.states.get(call_id)
         if call_state is None:
-            _forget(asking, call_id)
+            del asking.questions[call_id]
             messages.append(WithdrawSlot(owner=question.owner, call_id=call_id))
         elif now - question.asked_at >= REPEAT_SECONDS:
             messages.extend(_repeat(state, asking, question, call_state, now))
@@ -230,7 +228,7 @@
     """Try the next owner, or choose here once enough were tried."""
     call_id = call_state.call.id
     question = asking.questions.pop(call_id)
-    asking.owners_asked[call_id] = asking.owners_asked.get(call_id, 0) + 1
+    call_state.lost_owners += 1
     decision = Decision(
         part="asking",
         sentence=f"{question.owner} is passed over as owner: {reason}",
@@ -240,8 +238,3 @@
     )
     withdrawal = WithdrawSlot(owner=question.owner, call_id=call_id)
     return [decision, withdrawal, replace(call_state.routed, now=now)]
-
-
-def _forget(asking: AskingState, call_id: int) -> None:
-    asking.questions.pop(call_id, None)
-    asking.owners_asked.pop(call_id, None)
