--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -114,3 +114,8 @@
     And every backend server reported that its neighbours slow it five times
     When a read comes and only time passes, for 120 ms
     Then it was dispatched
+
+  Scenario: A backend server that joins gets work, also when few requests come
+    Given a front with the entries i-1 at 5 and i-2 at 6
+    When a read is answered every 200 ms for 4 s, then i-3 joins at 9
+    Then i-3 gets one of the reads of the next 3 s
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -22,6 +22,7 @@
 
 TICK_SECONDS = 0.02
 NOT_FULL = LoadReport(running=1, waiting=0, slots=3)
+IDLE = LoadReport(running=0, waiting=0, slots=3)
 
 
 @given("a front with version {version:d} in force")
@@ -451,3 +452,28 @@
 @then("it was dispatched")
 def check_dispatched(context):
     assert find(context.orders, messages.Dispatch) is not None, context.orders
+
+
+def read_slowly(context, seconds, every):
+    """Let a read come and be answered at an interval; returns where they went."""
+    front = context.front
+    went = []
+    for _ in range(round(seconds / every)):
+        call_id, orders = front.arrive()
+        went.append(find(orders, messages.Dispatch).server.name)
+        front.now += every / 2
+        front.answer(call_id, went[-1], load=IDLE)
+        front.now += every / 2
+    return went
+
+
+@when("a read is answered every {every:d} ms for {seconds:d} s, then {name} joins at {offset:d}")
+def join_at_low_load(context, every, seconds, name, offset):
+    read_slowly(context, seconds, every / 1000)
+    context.front.register(name, offset=offset)
+
+
+@then("{name} gets one of the reads of the next {seconds:d} s")
+def check_used(context, name, seconds):
+    went = read_slowly(context, seconds, 0.2)
+    assert name in went, went
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -65,6 +65,7 @@
     if chosen is None:
         return []
     line.remove(call_state.call.id)
+    chosen.chosen_at = freed.now
     if call_state.asker is not None:
         return _grant(call_state, chosen, freed.now)
     call_state.expected = chosen.view.estimate_slowdown(freed.now, 1.0)
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -35,6 +35,7 @@
     :param used_at: monotonic second of the last answer or dispatch
     :param view: what reports and other daemons say of its load
     :param cold_until: monotonic second until which it said that it is slow
+    :param chosen_at: monotonic second at which this daemon chose it last, for any daemon
     """
 
     server: BackendServer
@@ -52,6 +53,7 @@
     used_at: float = 0.0
     view: LoadView = field(default_factory=LoadView)
     cold_until: float = 0.0
+    chosen_at: float = float("-inf")
 
     def is_eligible(self, now: float) -> bool:
         """Tell whether it may get new work."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
@@ -37,6 +37,9 @@
 LATE_SHARE = 0.2
 # A new connection costs both sides some milliseconds.
 UNCONNECTED_FACTOR = 1.1
+# One that was not chosen for so long is worth a new connection, so that those that join
+# are used.
+RESTED_SECONDS = 1.0
 # Choices closer than this share are taken in turn, so that daemons with the same
 # view do not all choose the same backend server.
 JITTER_SHARE = 0.05
@@ -58,7 +61,8 @@
         for state in states:
             factor = estimate_factor(state, now, usual=usual)
             cost = factor * weigh_detours(state, now, zone=zone)
-            if not _is_connected(state, call, now):
+            is_rested = now - state.chosen_at >= RESTED_SECONDS
+            if not is_rested and not _is_connected(state, call, now):
                 cost *= UNCONNECTED_FACTOR
             cost *= 1.0 + JITTER_SHARE * random.random()
             if cost < least:
