Serve by what peers know where a daemon starts while the store is away

It heard its peers' heartbeats and took the configuration from them, but no backend server; its peers took it for alive and asked it for slots, which it could not give (68 questions). Ruled out: entries that lapsed (the others kept all of them). Change: such a daemon asks a peer for all entries (RegistryAsked), which merge by their offsets as any others; a heartbeat says whether its sender knows enough to choose, and one that does not is no owner. Both scenarios failed before.

--- a/features/daemons_share_slots.feature
+++ b/features/daemons_share_slots.feature
@@ -58,3 +58,8 @@
   Scenario: Random schedules of lost, late and repeated datagrams, pauses and restarts
     When 200 random schedules of three daemons that grant slots are run, from seed 1
     Then no write is sent twice or told not run wrongly, and no call is left behind
+
+  Scenario: A daemon that knows no backend server does not grant slots
+    Given two fronts of which the other owns the service
+    When the owner says that it knows no backend server
+    Then the next read is dispatched without a question
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -52,3 +52,8 @@
     Given the platform with 1 backend servers and no configuration
     When front-1 starts while an outgoing connection holds its port
     Then it ends and names the address that is in use
+
+  Scenario: A daemon that starts while the store is down serves by what its peers know
+    Given the platform with 2 backend servers and 2 daemons
+    When the store goes down and front-1 is killed and started again
+    Then front-1 serves within 2 s while the store is down
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -263,3 +263,18 @@
     wait_until(process.has_ended, seconds=10, what="front-1 ends")
     text = process.log_path.read_text(encoding="utf-8")
     assert f"{context.taken}: Address already in use" in text, text
+
+
+@when("the store goes down and front-1 is killed and started again")
+def restart_without_store(context):
+    platform = context.platform
+    platform.ask_store("/faults", {"down": True})
+    platform.daemons["front-1"].kill()
+    platform.daemons["front-1"].start()
+
+
+@then("front-1 serves within {seconds:g} s while the store is down")
+def check_served_without_store(context, seconds):
+    platform = context.platform
+    wait_until(lambda: platform.is_ready("front-1"), seconds=seconds, what="front-1 is ready")
+    assert platform.request("front-1", "/orders/x", "without-store").status_code == 200
--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -209,3 +209,17 @@
 @then("no write is sent twice or told not run wrongly, and no call is left behind")
 def check_schedules(context):
     assert not context.faults, context.faults
+
+
+@when("the owner says that it knows no backend server")
+def forget_servers(context):
+    front = context.front
+    front.now += 1.0
+    front.hear_peer(context.owner.state.name, can_decide=False)
+
+
+@then("the next read is dispatched without a question")
+def check_no_question(context):
+    _, orders = context.front.arrive()
+    assert find(orders, AskSlot) is None
+    assert find(orders, messages.Dispatch) is not None
--- a/features/subjects/front.py
+++ b/features/subjects/front.py
@@ -99,7 +99,7 @@
         """Take the removal of an entry."""
         return self._read(name, offset, None)
 
-    def hear_peer(self, name="front-2", zone=ZONE, in_flight=None):
+    def hear_peer(self, name="front-2", zone=ZONE, in_flight=None, *, can_decide=True):
         """Hear a heartbeat."""
         heard = HeartbeatHeard(
             now=self.now,
@@ -109,6 +109,7 @@
             zone=zone,
             is_leaving=False,
             in_flight=in_flight or {},
+            can_decide=can_decide,
         )
         return self.tell(heard)
 
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -11,6 +11,7 @@
     "LoadEntry",
     "LoadNews",
     "NewsAsked",
+    "RegistryAsked",
     "RegistryEntry",
     "RegistryNews",
     "SlotAnswer",
@@ -30,6 +31,7 @@
     :param revision: revision of the configuration that it has in force, 0 for none
     :param in_flight: requests that it has at each backend server, where any
     :param answers: whether the receiver should answer with a heartbeat of its own
+    :param can_decide: whether it knows a configuration and backend servers
     """
 
     sender: str
@@ -40,6 +42,7 @@
     revision: int
     in_flight: dict[str, int]
     answers: bool = False
+    can_decide: bool = True
 
 
 class LoadEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -122,6 +125,13 @@
     body: bytes
 
 
+class RegistryAsked(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=11):
+    """A daemon knows no backend server and cannot read the store."""
+
+    sender: str
+    address: str
+
+
 class SlotQuestion(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=6):
     """A call of the sender wants a slot; fields as in ``SlotRequest``."""
 
@@ -183,6 +193,7 @@
     Heartbeat
     | LoadNews
     | RegistryNews
+    | RegistryAsked
     | NewsAsked
     | ConfigurationNews
     | SlotQuestion
--- a/packages/dotterelgate-core/src/dotterelgate_core/owners.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/owners.py
@@ -46,7 +46,7 @@
     table = state.owners
     key = (service, zone)
     if now - table.ranked_at.get(key, float("-inf")) >= RANK_SECONDS:
-        table.ranks[key] = rank_by_rendezvous(service, select_alive(state, now, zone))
+        table.ranks[key] = rank_by_rendezvous(service, _select_deciding(state, now, zone))
         table.ranked_at[key] = now
     rank = table.ranks[key]
     if not table.suspected_until:
@@ -54,6 +54,17 @@
     return [name for name in rank if table.suspected_until.get(name, now) <= now][:OWNERS]
 
 
+def _select_deciding(state: DaemonState, now: float, zone: str) -> list[str]:
+    """Name the daemons of a zone that know enough to choose; all, where none does."""
+    alive = select_alive(state, now, zone)
+    deciding = [
+        name
+        for name in alive
+        if (state.can_decide if name == state.name else state.peers.listed[name].can_decide)
+    ]
+    return deciding or alive
+
+
 def find_owner(state: DaemonState, service: str, now: float) -> str:
     """Name the owner of a service's queue in the own zone; this daemon if none is known."""
     owners = list_owners(state, service, now, state.zone)
--- a/packages/dotterelgate-core/src/dotterelgate_core/peers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/peers.py
@@ -25,6 +25,7 @@
     :param address: where it listens for peers
     :param incarnation: which run of it was heard last
     :param leaving: whether that run said that it stops
+    :param can_decide: whether it knows a configuration and backend servers
     :param listed_leaving: whether the platform lists its VM as leaving
     :param is_suspected: whether it left a question unanswered and was not heard since
     :param heard_at: monotonic second of its last message
@@ -36,6 +37,7 @@
     zone: str = ""
     incarnation: str = ""
     leaving: bool = False
+    can_decide: bool = True
     listed_leaving: bool = False
     is_suspected: bool = False
     heard_at: float = 0.0
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -72,6 +72,7 @@
     """A peer is alive.
 
     :param in_flight: its requests at each backend server where it has any
+    :param can_decide: whether it knows a configuration and backend servers
     """
 
     now: float
@@ -81,6 +82,7 @@
     zone: str
     is_leaving: bool
     in_flight: dict[str, int]
+    can_decide: bool = True
 
 
 def select_alive(state: DaemonState, now: float, zone: str) -> list[str]:
@@ -174,6 +176,7 @@
     state.peers.hear(heard.peer, heard.incarnation, heard.now)
     peer.address = heard.address
     peer.leaving = heard.is_leaving
+    peer.can_decide = heard.can_decide
     if heard.zone == state.zone:
         _take_counts(state, heard)
     return messages
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -64,6 +64,11 @@
     owners: OwnerTable = field(default_factory=OwnerTable)
     handovers: HandoverTable | None = None
 
+    @property
+    def can_decide(self) -> bool:
+        """Whether a configuration and backend servers are known."""
+        return self.configuration.current is not None and bool(self.servers.states)
+
 
 @dataclass(kw_only=True, slots=True)
 class LogPosition:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -187,6 +187,7 @@
             revision=current.revision if current is not None else 0,
             in_flight={name: each.in_flight for name, each in servers if each.in_flight},
             answers=answers,
+            can_decide=state.can_decide,
         )
 
     def _flush(self) -> None:
@@ -244,6 +245,7 @@
             zone=message.zone,
             is_leaving=message.is_leaving,
             in_flight=message.in_flight,
+            can_decide=message.can_decide,
         )
         self._tell(heard)
         if message.answers:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -7,7 +7,12 @@
 
 import structlog
 
-from dotterelgate_border.datagrams import RegistryEntry, RegistryNews
+from dotterelgate_border.datagrams import (
+    Heartbeat,
+    RegistryAsked,
+    RegistryEntry,
+    RegistryNews,
+)
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.reading import NewsHeard, RegistryReadEnded, RegistryReadFailed
 from dotterelgate_core.registry import RegistrationRead, RegistryListed
@@ -33,7 +38,11 @@
 REPEATED_SECONDS = 3.0
 # Larger news would not fit in a datagram; peers read for themselves then.
 NEWS_BYTES = 48_000
+# What an entry takes besides its name and value.
+ENTRY_BYTES = 16
 MILLISECONDS = 1000
+# A daemon that knows no backend server asks its peers this often.
+ASK_SECONDS = 0.3
 
 
 class RegistryFollower:
@@ -55,6 +64,9 @@
         self._mesh = mesh
         self._tell = tell
         self._known: dict[str, Registration | None] = {}
+        self._entries: dict[str, RegistryEntry] = {}
+        self._has_failed = False
+        self._asked_at = float("-inf")
         self._recent: list[tuple[float, RegistryEntry]] = []
         self._positions: list[tuple[float, int]] = []
         self._dependency = Dependency(name="the registry's topic")
@@ -76,6 +88,44 @@
         """Take a peer's message."""
         if isinstance(message, RegistryNews):
             self._take_news(message)
+        elif isinstance(message, Heartbeat):
+            self._ask_peer(message)
+        elif isinstance(message, RegistryAsked):
+            self._tell_all(message.address)
+
+    def _ask_peer(self, heartbeat: Heartbeat) -> None:
+        """Ask a peer for all entries where the store does not answer."""
+        now = time.monotonic()
+        if not self._has_failed or self._state.servers.states or not heartbeat.can_decide:
+            return
+        if now - self._asked_at < ASK_SECONDS:
+            return
+        self._asked_at = now
+        logger.info("store: asking a peer for the registry", peer=heartbeat.sender)
+        question = RegistryAsked(sender=self._state.name, address=self._mesh.address)
+        self._mesh.send_message(heartbeat.address, question)
+
+    def _tell_all(self, address: str) -> None:
+        """Send all entries known here, in as many datagrams as they need."""
+        position = self._reader.position
+        if position is None:
+            return
+        batch: list[RegistryEntry] = []
+        size = 0
+        for entry in self._entries.values():
+            batch.append(entry)
+            size += _measure(entry)
+            if size > NEWS_BYTES:
+                self._send_entries(address, position, batch)
+                batch, size = [], 0
+        if batch:
+            self._send_entries(address, position, batch)
+
+    def _send_entries(self, address: str, position: int, entries: list[RegistryEntry]) -> None:
+        news = RegistryNews(
+            sender=self._state.name, start=position, end=position, returned_ms=-1, entries=entries
+        )
+        self._mesh.send_message(address, news)
 
     def _note_listing(self, keys: frozenset[str], end: int) -> None:
         self._tell(RegistryListed(now=time.monotonic(), names=keys, end=end))
@@ -87,6 +137,7 @@
         self._tell_peers(now)
 
     def _fail(self, reason: str) -> None:
+        self._has_failed = True
         self._dependency.note_failure(reason)
         self._tell(RegistryReadFailed(now=time.monotonic(), reason=reason))
 
@@ -94,8 +145,9 @@
         now = time.monotonic()
         for record in records:
             registration, reason = self._decode(record)
+            entry = RegistryEntry(name=record.key, offset=record.offset, value=record.value)
+            self._keep_newest(entry)
             if self._is_change(record.key, registration):
-                entry = RegistryEntry(name=record.key, offset=record.offset, value=record.value)
                 self._recent.append((now, entry))
             read = RegistrationRead(
                 now=now,
@@ -107,6 +159,14 @@
             )
             self._tell(read)
 
+    def _keep_newest(self, entry: RegistryEntry) -> None:
+        if entry.offset < self._registry.offsets.get(entry.name, -1):
+            return
+        if entry.value is None:
+            self._entries.pop(entry.name, None)
+        else:
+            self._entries[entry.name] = entry
+
     def _decode(self, record: StoreRecord) -> tuple[Registration | None, str]:
         if record.value is None:
             return None, "its entry was removed"
@@ -143,7 +203,7 @@
         start = self._positions[0][1] if self._positions else position
         self._positions.append((now, position))
         entries = [entry for _, entry in self._recent]
-        if sum(len(each.value or b"") + len(each.name) + 16 for each in entries) > NEWS_BYTES:
+        if sum(_measure(each) for each in entries) > NEWS_BYTES:
             start, entries = position, []
         returned = now - self._registry.returned_at
         news = RegistryNews(
@@ -171,3 +231,8 @@
             self._tell(NewsHeard(now=now, returned_at=returned_at))
             self._reader.position = max(position, news.end)
         self._take_records(records, news.sender)
+
+
+def _measure(entry: RegistryEntry) -> int:
+    """Measure about how many bytes of a datagram an entry takes."""
+    return len(entry.value or b"") + len(entry.name) + ENTRY_BYTES
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -141,8 +141,7 @@
 
 
 def _is_ready(state: DaemonState) -> bool:
-    knows = state.configuration.current is not None and bool(state.servers.states)
-    return knows and not state.peers.leaving
+    return state.can_decide and not state.peers.leaving
 
 
 class StoreControl:
