Say unknown for a read that ran once; pass a ready answer on where no time is left

A read that failed with 500 and was rejected on its second attempt was told 503, a promise. Change: no further attempt where the work cannot end in time; a call with an attempt that may have run is never refused as not run (code 405, 502).

--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -119,3 +119,13 @@
     Given a front with the entries i-1 at 5 and i-2 at 6
     When a read is answered every 200 ms for 4 s, then i-3 joins at 9
     Then i-3 gets one of the reads of the next 3 s
+
+  Scenario: A read that ran and cannot be sent again is not told not run
+    Given a front with the entries i-1 at 5 and i-2 at 6
+    When a read is answered 500, sent again and rejected there
+    Then it is refused with 502 and an unknown outcome
+
+  Scenario: An answer that is ready is passed on where no time is left for another
+    Given a front with the entries i-1 at 5 and i-2 at 6
+    When a read is answered 504 shortly before its time limit
+    Then that answer is passed on
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -477,3 +477,36 @@
 def check_used(context, name, seconds):
     went = read_slowly(context, seconds, 0.2)
     assert name in went, went
+
+
+@when("a read is answered 500, sent again and rejected there")
+def reject_second(context):
+    front = context.front
+    call_id, orders = front.arrive()
+    first = find(orders, messages.Dispatch).server.name
+    front.now += 0.05
+    orders = front.answer(call_id, first, status=500, load=NOT_FULL)
+    second = find(orders, messages.Dispatch).server.name
+    front.now += 0.05
+    context.orders = front.answer(call_id, second, status=503, ran=False, load=NOT_FULL)
+
+
+@then("it is refused with 502 and an unknown outcome")
+def check_unknown(context):
+    refusal = find(context.orders, messages.CallRefused).refusal
+    assert refusal.code.status == 502, refusal
+    assert refusal.outcome is codes.Outcome.UNKNOWN, refusal
+
+
+@when("a read is answered 504 shortly before its time limit")
+def answer_late(context):
+    front = context.front
+    call_id, orders = front.arrive(timeout=0.5)
+    front.now += 0.49
+    server = find(orders, messages.Dispatch).server.name
+    context.orders = front.answer(call_id, server, status=504, load=NOT_FULL)
+
+
+@then("that answer is passed on")
+def check_passed_on(context):
+    assert find(context.orders, messages.Relay) is not None, context.orders
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -38,6 +38,7 @@
     :param unsent: dispatches of which nothing was sent
     :param admitted: whether it was let into the queue
     :param work: seconds that it is expected to take on a calm backend server
+    :param may_have_run: whether an attempt ran, or may have
     :param lost_owners: owners that were asked for a slot and passed over
     :param asker: daemon of the zone that has the call and asks for a slot
     """
@@ -59,6 +60,7 @@
     unsent: int = 0
     admitted: bool = False
     work: float = 0.0
+    may_have_run: bool = False
     asker: str | None = None
     lost_owners: int = 0
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -148,6 +148,9 @@
 CALLER_GONE = ResultCode(
     404, "caller_gone", 499, _UNKNOWN, "The caller closed its connection first."
 )
+REPEAT_FAILED = ResultCode(
+    405, "repeat_failed", 502, _UNKNOWN, "An attempt may have run, and no other could be made."
+)
 
 RESULT_CODES = tuple(value for value in list(globals().values()) if isinstance(value, ResultCode))
 CODES_BY_NUMBER = {code.number: code for code in RESULT_CODES}
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import codes
+from dotterelgate_core.calls import WAY_SECONDS
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.learning import FIRST_FAILURE_STATUS
 from dotterelgate_core.messages import (
@@ -67,6 +68,7 @@
     call_state = state.calls.states[message.call_id]
     if message.ran:
         if _is_worth_repeating(call_state, message) and _may_retry(state, call_state, message.now):
+            call_state.may_have_run = True
             sentence = f"{message.server} answered {message.status}"
             return _try_again(call_state, message.now, sentence, message.server)
         return _pass_on(message.now, message.call_id, message.server, message.kept)
@@ -89,6 +91,7 @@
     if may_have_run:
         return _end(message.now, message.call_id, message.refusal, ran=None)
     if message.sent:
+        call_state.may_have_run = True
         return _retry_or_refuse(state, call_state, message.now, message.refusal, message.server)
     return _settle_unsent(state, call_state, message)
 
@@ -154,7 +157,8 @@
         return False
     if routed.call.streamed or call_state.caller_left and call_state.digest is None:
         return False
-    if now >= routed.deadline:
+    if now + call_state.work + WAY_SECONDS > routed.deadline:
+        # The answer that there is, or its loss, is told while the caller waits.
         return False
     return state.retries.find(routed.service.name, routed.service.retry_share).spend()
 
@@ -291,7 +295,10 @@
     call_state = state.calls.states.pop(settled.call_id, None)
     if call_state is None or call_state.caller_left:
         return [CallEnded(call_id=settled.call_id)]
-    return [CallRefused(call_id=settled.call_id, refusal=settled.refusal)]
+    refusal = settled.refusal
+    if call_state.may_have_run and refusal.outcome is codes.Outcome.NOT_RUN:
+        refusal = Refusal(codes.REPEAT_FAILED, refusal.reason)
+    return [CallRefused(call_id=settled.call_id, refusal=refusal)]
 
 
 def _finish_answered(state: DaemonState, message: CallRefused | Replay) -> list[Message]:
