Weigh a new connection more; prove who waits for a configuration when the store turns readers away

The scenario about readers that the store turns away passed at once: the daemon that reads in their place hears no news, so it waits for the configuration as well.

--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -129,3 +129,10 @@
     Given a front with the entries i-1 at 5 and i-2 at 6
     When a read is answered 504 shortly before its time limit
     Then that answer is passed on
+
+  Scenario: Where the store turns both readers away, the one that reads in their place waits too
+    Given 6 fronts of a zone that hear each other
+    When 3 s pass with news reaching all
+    Then 2 of them wait for a new configuration
+    When the store turns those away for 4 s
+    Then 1 or more others wait for a new configuration
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -21,6 +21,7 @@
 )
 
 TICK_SECONDS = 0.02
+BEAT_STEPS = 12
 NOT_FULL = LoadReport(running=1, waiting=0, slots=3)
 IDLE = LoadReport(running=0, waiting=0, slots=3)
 
@@ -277,27 +278,45 @@
     context.reads = dict.fromkeys(context.fronts, 0)
 
 
-def advance(fronts, reads, seconds, silent=()):
-    """Let time pass; reads succeed at once and their news reach all that are not silent."""
-    steps = round(seconds / TICK_SECONDS)
-    for step in range(steps):
+def advance(fronts, reads, seconds, silent=(), refused=()):
+    """Let time pass; reads succeed at once and their news reach all that are not silent.
+
+    :param refused: names of those whose reads fail
+    """
+    for step in range(round(seconds / TICK_SECONDS)):
         for name, front in fronts.items():
             if name in silent:
                 continue
             front.now += TICK_SECONDS
-            if step % 12 == 0:
-                for other in fronts:
-                    if other not in (name, *silent):
-                        front.hear_peer(other)
+            others = [other for other in fronts if other not in (name, *silent)]
+            if step % BEAT_STEPS == 0:
+                for other in others:
+                    front.hear_peer(other)
             orders = front.tick()
-            take_configuration_order(front, orders)
-            if find(orders, ReadRegistry) is None:
-                continue
-            reads[name] += 1
-            front.tell(RegistryReadEnded(now=front.now))
-            for other, each in fronts.items():
-                if other not in (name, *silent):
-                    each.tell(NewsHeard(now=each.now, returned_at=float("-inf")))
+            if name in refused:
+                refuse_reads(front, orders)
+            elif answer_reads(front, orders):
+                reads[name] += 1
+                for other in others:
+                    news = NewsHeard(now=fronts[other].now, returned_at=float("-inf"))
+                    fronts[other].tell(news)
+
+
+def answer_reads(front, orders):
+    """Answer a daemon's reads; returns whether it read the registry."""
+    take_configuration_order(front, orders)
+    if find(orders, ReadRegistry) is None:
+        return False
+    front.tell(RegistryReadEnded(now=front.now))
+    return True
+
+
+def refuse_reads(front, orders):
+    """Let the store turn this daemon away, its waiting read included."""
+    if find(orders, ReadRegistry) is not None:
+        front.tell(RegistryReadFailed(now=front.now, reason="the store turned it away"))
+    if front.reading.configuration.is_asking:
+        front.tell(ConfigurationReadFailed(now=front.now, reason="the store turned it away"))
 
 
 def take_configuration_order(front, orders):
@@ -510,3 +529,13 @@
 @then("that answer is passed on")
 def check_passed_on(context):
     assert find(context.orders, messages.Relay) is not None, context.orders
+
+
+@when("the store turns those away for {seconds:d} s")
+def turn_away(context, seconds):
+    advance(context.fronts, context.reads, seconds, refused=tuple(context.waiting))
+
+
+@then("1 or more others wait for a new configuration")
+def check_others(context):
+    assert list_waiting(context, context.waiting), context.waiting
--- a/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/soonest.py
@@ -36,7 +36,7 @@
 # long as it answers in time.
 LATE_SHARE = 0.2
 # A new connection costs both sides some milliseconds.
-UNCONNECTED_FACTOR = 1.1
+UNCONNECTED_FACTOR = 1.25
 # One that was not chosen for so long is worth a new connection, so that those that join
 # are used.
 RESTED_SECONDS = 1.0
