Tell other zones less often where there are many daemons; do not wait for a configuration before peers are known

Worked out: heartbeats from each daemon to each of 109 in other zones every 1.9 s are 0.8 MB a second; loads relayed every 60 ms 0.4 MB. A daemon that starts took itself for the first reader until it had heard a peer and asked the store to hold a read back, one call for each of 228 starts. Ruled out: answers that cross zones alone (at most a third). Change: the interval of heartbeats to other zones, and the silence after which they count as lost, grow with the number of peers there beyond 16; loads are told half as often. No waiting read in the first half second.

--- a/features/front_decisions.feature
+++ b/features/front_decisions.feature
@@ -136,3 +136,20 @@
     Then 2 of them wait for a new configuration
     When the store turns those away for 4 s
     Then 1 or more others wait for a new configuration
+
+  Scenario Outline: Heartbeats between zones do not grow with the square of the daemons
+    Given a front that hears <peers> daemons of other zones
+    When <seconds> s pass without a word of them
+    Then it <still> takes them for alive
+
+    Examples:
+      | peers | seconds | still    |
+      | 10    | 4       | still    |
+      | 10    | 5       | no longer |
+      | 100   | 30      | still    |
+      | 100   | 33      | no longer |
+
+  Scenario: A daemon that starts does not wait for a configuration before it knows its peers
+    Given 6 fronts of a zone that hear each other
+    When all have just started and no heartbeat has come
+    Then none of them waits for a new configuration
--- a/features/steps/front_steps.py
+++ b/features/steps/front_steps.py
@@ -19,6 +19,7 @@
     RegistryReadEnded,
     RegistryReadFailed,
 )
+from dotterelgate_core.sharing import select_alive
 
 TICK_SECONDS = 0.02
 BEAT_STEPS = 12
@@ -539,3 +540,35 @@
 @then("1 or more others wait for a new configuration")
 def check_others(context):
     assert list_waiting(context, context.waiting), context.waiting
+
+
+@given("a front that hears {peers:d} daemons of other zones")
+def hear_far(context, peers):
+    context.front = Front()
+    for number in range(peers):
+        context.front.hear_peer(f"far-{number}", zone="south")
+    context.far = peers
+
+
+@when("{seconds:d} s pass without a word of them")
+def pass_without_word(context, seconds):
+    context.front.now += seconds
+
+
+@then("it {still} takes them for alive")
+def check_alive(context, still):
+    alive = select_alive(context.front.state, context.front.now, "south")
+    assert len(alive) == (context.far if still == "still" else 0), len(alive)
+
+
+@when("all have just started and no heartbeat has come")
+def start_all(context):
+    for front in context.fronts.values():
+        for _ in range(BEAT_STEPS):
+            front.now += TICK_SECONDS
+            take_configuration_order(front, front.tick())
+
+
+@then("none of them waits for a new configuration")
+def check_none_waits(context):
+    assert not list_waiting(context), list_waiting(context)
--- a/packages/dotterelgate-core/src/dotterelgate_core/reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/reading.py
@@ -43,6 +43,9 @@
 FAILURES_OF_AN_OUTAGE = 2
 # A read that is not over by then counts as failed.
 PATIENCE_SECONDS = 1.5
+# A daemon that starts knows its peers after the first exchange of heartbeats; until then
+# it does not take itself for a reader.
+ACQUAINTANCE_SECONDS = 0.5
 # The order in which daemons read is worked out this often.
 PLACE_SECONDS = 0.2
 # Daemons of an availability zone that wait for a new configuration at the store; the
@@ -110,6 +113,7 @@
     :param is_asking: whether a read is on its way
     :param failures: failed reads in a row
     :param heard_at: monotonic second of the last news of a peer that reads
+    :param started_at: monotonic second of the first tick
     :param place: how many daemons of the zone are to read before this one
     :param placed_at: monotonic second of which ``place`` is
     :param configuration: the same of the configuration's topic
@@ -120,6 +124,7 @@
     is_asking: bool = False
     failures: int = 0
     heard_at: float = float("-inf")
+    started_at: float = float("inf")
     place: int = 0
     placed_at: float = float("-inf")
     configuration: ConfigurationReading = field(default_factory=lambda: ConfigurationReading())
@@ -211,12 +216,15 @@
 
 
 def _order_configuration(state: DaemonState, reading: ReadingState, now: float) -> list[Message]:
+    reading.started_at = min(reading.started_at, now)
     configuration = reading.configuration
     if configuration.is_asking:
         return []
     if now - configuration.failed_at < _find_pause(configuration.failures):
         return []
     if configuration.has_read:
+        if now - reading.started_at < ACQUAINTANCE_SECONDS:
+            return []
         place = _find_place(state, reading, now)
         is_reader = place < CONFIGURATION_READERS
         if not is_reader and not _is_missed(reading.heard_at, place, now):
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -21,6 +21,7 @@
     "HeartbeatHeard",
     "LoadHeard",
     "ServerLoad",
+    "find_far_scale",
     "free_slots",
     "make_sharing_filter",
     "select_alive",
@@ -29,8 +30,12 @@
 
 # Heartbeats come every 0.25 s in an availability zone; four in a row may be lost.
 SILENCE_SECONDS = 1.2
-# Other zones hear every eighth of them; one in a row may be lost.
+# Other zones hear every eighth of them, where there are few peers; one in a row may be
+# lost.
 FAR_SILENCE_SECONDS = 4.5
+# Peers in other zones that may be told at the full rate: bytes between zones cost, and
+# heartbeats from each to each grow with the square of the daemons.
+FAR_PEERS = 16
 # Counts that nobody repeats are looked for this often.
 FORGET_SECONDS = 0.2
 
@@ -85,9 +90,17 @@
     can_decide: bool = True
 
 
+def find_far_scale(state: DaemonState) -> int:
+    """Find how many times more rarely other zones are told, by the number of peers there."""
+    far = sum(peer.zone != state.zone for peer in state.peers.listed.values())
+    return max(1, -(-far // FAR_PEERS))
+
+
 def select_alive(state: DaemonState, now: float, zone: str) -> list[str]:
     """Name the daemons of a zone that were heard lately, this one included."""
-    silence = SILENCE_SECONDS if zone == state.zone else FAR_SILENCE_SECONDS
+    silence = SILENCE_SECONDS
+    if zone != state.zone:
+        silence = FAR_SILENCE_SECONDS * find_far_scale(state)
     alive = [
         peer.name
         for peer in state.peers.listed.values()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -22,6 +22,7 @@
     HeartbeatHeard,
     LoadHeard,
     ServerLoad,
+    find_far_scale,
     select_near,
 )
 from dotterelgate_daemon.polling import Watch
@@ -52,6 +53,9 @@
 FAR_EVERY = 8
 # Other zones are told of reports that are not older; the next probe brings more.
 FAR_AGE_SECONDS = 0.1
+# Where there are many peers in other zones, loads are told there half as often; a zone of
+# that size seldom needs the others' backend servers.
+MOST_RELAY_SCALE = 2
 PERCENT = 100
 MILLISECONDS = 1000
 
@@ -85,6 +89,8 @@
         self._sent_bytes = metrics.control_bytes.labels(channel="mesh")
         self._tell = tell
         self._beats = 0
+        self._relays = 0
+        self._has_told_stop = False
         self._flush_at = float("inf")
         self._lost_sends = 0
         self._socket = self._bind(address)
@@ -106,8 +112,13 @@
             self._timers.call_after(delay=due - now, call=self._flush)
 
     def beat(self) -> None:
-        """Send a heartbeat to the own zone, and now and then to the others."""
-        is_far = self._beats % FAR_EVERY == 0
+        """Send a heartbeat to the own zone, and now and then to the others.
+
+        A daemon that stops tells all at once; so does one that starts, by its greeting.
+        """
+        is_far = self._beats % (FAR_EVERY * find_far_scale(self._state)) == 0
+        if self._state.peers.leaving and not self._has_told_stop:
+            is_far = self._has_told_stop = True
         self._beats += 1
         near = encode_datagram(self._build_heartbeat(counts=True))
         far = encode_datagram(self._build_heartbeat(counts=False)) if is_far else b""
@@ -121,6 +132,9 @@
         """Tell the loads of the own zone to the owners of each other zone."""
         now = time.monotonic()
         state = self._state
+        self._relays += 1
+        if self._relays % min(find_far_scale(state), MOST_RELAY_SCALE):
+            return
         zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
         for service, pool in state.servers.by_service.items():
             if find_owner(state, service, now) != state.name:
