--- a/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/fleet.py
@@ -27,6 +27,9 @@
 STOP_SECONDS = 5.0
 POLL_SECONDS = 0.02
 LOWEST_PORT, HIGHEST_PORT = 12_000, 32_000
+RESERVING_HOST = "127.9.9.9"
+
+_reservations: list[socket.socket] = []
 
 
 def wait_until(condition: Callable[[], bool], *, seconds: float, what: str) -> float:
@@ -52,11 +55,31 @@
     chance = random.SystemRandom()
     while True:
         port = chance.randrange(LOWEST_PORT, HIGHEST_PORT)
+        if not reserve_port(port):
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
             return f"127.0.0.1:{port}"
 
 
+def reserve_port(port: int) -> bool:
+    """Keep other processes that test from this port until this one ends.
+
+    The same port of another loopback address is held; a process under test may be down
+    for a while, and its port looks free then.
+
+    :returns: whether it was not reserved yet
+    """
+    holder = socket.socket()
+    try:
+        holder.bind((RESERVING_HOST, port))
+    except OSError:
+        holder.close()
+        return False
+    _reservations.append(holder)
+    return True
+
+
 @dataclass(kw_only=True)
 class Process:
     """One process of the fleet.
