--- a/features/subjects/crowd.py
+++ b/features/subjects/crowd.py
@@ -63,6 +63,19 @@
                 self.start(following, now, work=self.works[following])
         return ended
 
+    def answer_probe(self, now: float) -> ProbeAnswered:
+        """Answer a probe."""
+        return ProbeAnswered(
+            now=now,
+            wall=now,
+            service="s",
+            server=self.name,
+            answered=True,
+            draining=False,
+            load=self.report(),
+            said_name=self.name,
+        )
+
     def report(self) -> LoadReport:
         """Report its load."""
         return LoadReport(
@@ -170,15 +183,5 @@
                 server.queue.remove(call_id)
 
     def _probe(self, order: Probe) -> None:
-        name = order.server.name
-        answered = ProbeAnswered(
-            now=self._front.now,
-            wall=self._front.now,
-            service="s",
-            server=name,
-            answered=True,
-            draining=False,
-            load=self._servers[name].report(),
-            said_name=name,
-        )
-        self._take(self._front.tell(answered), None)
+        server = self._servers[order.server.name]
+        self._take(self._front.tell(server.answer_probe(self._front.now)), None)
--- a/features/subjects/zone.py
+++ b/features/subjects/zone.py
@@ -9,7 +9,7 @@
 
 from dotterelgate_border.datagrams import LoadNews
 from dotterelgate_core import messages
-from dotterelgate_core.control_messages import Probe, ProbeAnswered
+from dotterelgate_core.control_messages import Probe
 from dotterelgate_core.owners import select_listeners
 from dotterelgate_core.slots import (
     AskSlot,
@@ -38,6 +38,8 @@
 WAY_SECONDS = 0.001
 # Call ids are unique over all daemons.
 IDS_APART = 100_000
+# From a caller to a daemon and back.
+CALLER_WAY_SECONDS = 0.016
 TAIL_SHARE = 0.03
 TAIL_FACTOR = 7.0
 
@@ -242,20 +244,11 @@
                 server.queue.remove(key)
 
     def _probed(self, front: Front, name: str) -> None:
-        answered = ProbeAnswered(
-            now=self.now,
-            wall=self.now,
-            service="s",
-            server=name,
-            answered=True,
-            draining=False,
-            load=self._servers[name].report(),
-            said_name=name,
-        )
+        answered = self._servers[name].answer_probe(self.now)
         self._take(front, front.tell(answered))
 
     def _count_answer(self, asked: Asked) -> None:
-        if self.now - asked.first + 0.016 <= self.target:
+        if self.now - asked.first + CALLER_WAY_SECONDS <= self.target:
             self.in_target += 1
         else:
             self.late += 1
@@ -270,7 +263,7 @@
         if advice is None or asked.tries > self.returns:
             self.refused += 1
             return
-        self._call_later(advice + 0.016, lambda: self._ask(asked))
+        self._call_later(advice + CALLER_WAY_SECONDS, lambda: self._ask(asked))
 
 
 def address_order(sender: str, order: object, now: float) -> tuple[str, object]:
