Work out once a tick who samples a service's backend servers

Found by reading the change again: a daemon that grants no slots hears no reports, so every backend server looked due at every tick, and the sampler of each was worked out by hashing each time. Two mechanisms chose samplers, one of them with state for peers that it kept up to date on every tick even where the other was used; they are one now, by candidates. Heartbeats touched every backend server for peers with nothing there, and old grants were looked for among all. Decisions are the same.

--- a/packages/dotterelgate-core/src/dotterelgate_core/granting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -138,8 +138,9 @@
 
 
 def _forget_old(granting: GrantingState, now: float) -> None:
-    old = [
-        call_id for call_id, (at, _) in granting.granted.items() if now - at > REMEMBERED_SECONDS
-    ]
-    for call_id in old:
+    # Grants stand in the order in which they were given.
+    while granting.granted:
+        call_id, (at, _) = next(iter(granting.granted.items()))
+        if now - at <= REMEMBERED_SECONDS:
+            return
         del granting.granted[call_id]
--- a/packages/dotterelgate-core/src/dotterelgate_core/loads.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/loads.py
@@ -111,6 +111,8 @@
 
         :returns: whether room may have come free
         """
+        if not self.peers and not self.unexplained:
+            return False
         before = self.count_others()
         stale = [name for name, (_, at) in self.peers.items() if now - at > PEER_COUNT_SECONDS]
         for name in stale:
--- a/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
@@ -40,15 +40,14 @@
     :param asked_at: monotonic second of the last probe of each backend server
     :param pending: names of those whose answer is awaited
     :param silent: names of those that did not answer the last probe
-    :param samplers: name of the daemon that samples each backend server
-    :param alive: daemons that ``samplers`` was worked out for, by zone
+    :param samplers: daemon that samples each backend server, with the candidates that it
+        was chosen among
     """
 
     asked_at: dict[str, float] = field(default_factory=dict)
     pending: set[str] = field(default_factory=set)
     silent: set[str] = field(default_factory=set)
-    samplers: dict[str, str] = field(default_factory=dict)
-    alive: dict[str, list[str]] = field(default_factory=dict)
+    samplers: dict[str, tuple[tuple[str, ...], str]] = field(default_factory=dict)
 
 
 def make_sampling_filter(state: DaemonState, sampling: SamplingState) -> Filter:
@@ -69,13 +68,11 @@
 ) -> list[Message]:
     if state.peers.leaving or state.configuration.current is None:
         return []
-    _follow_peers(state, sampling, tick.now)
     orders: list[Message] = []
-    for name, server in state.servers.states.items():
-        if not _is_due(state, sampling, server, tick.now):
-            continue
+    for name in _list_sampled(state, sampling, tick.now):
+        server = state.servers.states[name]
         service = state.configuration.find_service(server.service)
-        if service is None:
+        if service is None or not _is_due(state, sampling, server, tick.now):
             continue
         sampling.asked_at[name] = tick.now
         sampling.pending.add(name)
@@ -92,6 +89,45 @@
     return orders
 
 
+def _list_sampled(state: DaemonState, sampling: SamplingState, now: float) -> list[str]:
+    """List the backend servers that this daemon samples.
+
+    Most daemons sample none, so candidates are found once for each service and zone.
+    """
+    candidates: dict[tuple[str, str], tuple[str, ...]] = {}
+    sampled = []
+    for name, server in state.servers.states.items():
+        key = (server.service, server.server.zone)
+        found = candidates.get(key)
+        if found is None:
+            found = candidates[key] = tuple(_find_candidates(state, *key, now))
+        if state.name in found and _find_sampler(sampling, name, found) == state.name:
+            sampled.append(name)
+    return sampled
+
+
+def _find_candidates(state: DaemonState, service: str, zone: str, now: float) -> list[str]:
+    """Find the daemons that share the backend servers of a service in a zone.
+
+    Where slots are granted, these are the ones that hear all reports. A zone in which no
+    daemon is known to be alive is sampled from the others.
+    """
+    if is_granted(state, service):
+        owners = list_owners(state, service, now, zone)
+        return owners or list_owners(state, service, now, state.zone) or [state.name]
+    zones = sorted({server.server.zone for server in state.servers.states.values()})
+    everywhere = (name for each in zones for name in select_alive(state, now, each))
+    return sorted(select_alive(state, now, zone)) or sorted(everywhere) or [state.name]
+
+
+def _find_sampler(sampling: SamplingState, name: str, candidates: tuple[str, ...]) -> str:
+    known = sampling.samplers.get(name)
+    if known is None or known[0] != candidates:
+        known = (candidates, rank_by_rendezvous(name, candidates)[0])
+        sampling.samplers[name] = known
+    return known[1]
+
+
 def _is_due(state: DaemonState, sampling: SamplingState, server: ServerState, now: float) -> bool:
     name = server.server.name
     if server.server.draining or name in sampling.pending:
@@ -99,9 +135,7 @@
     since = now - sampling.asked_at.get(name, float("-inf"))
     if since < (SILENT_SECONDS if name in sampling.silent else LEAST_SECONDS):
         return False
-    if now - server.view.reported_at < _choose_age(state, server.service, now):
-        return False
-    return _find_sampler(state, sampling, server, now) == state.name
+    return now - server.view.reported_at >= _choose_age(state, server.service, now)
 
 
 def _choose_age(state: DaemonState, service: str, now: float) -> float:
@@ -110,40 +144,6 @@
     return SAMPLE_SECONDS if now - routed_at < DEMAND_SECONDS else IDLE_SECONDS
 
 
-def _follow_peers(state: DaemonState, sampling: SamplingState, now: float) -> None:
-    zones = {server.server.zone for server in state.servers.states.values()}
-    alive = {zone: sorted(select_alive(state, now, zone)) for zone in zones}
-    if alive != sampling.alive:
-        sampling.alive = alive
-        sampling.samplers.clear()
-
-
-def _find_owning_sampler(state: DaemonState, server: ServerState, now: float) -> str:
-    """Share the backend servers between the daemons that hear all reports of them."""
-    zone = server.server.zone
-    owners = list_owners(state, server.service, now, zone)
-    if not owners:
-        # No daemon of that zone is known to be alive.
-        owners = list_owners(state, server.service, now, state.zone) or [state.name]
-    return rank_by_rendezvous(server.server.name, owners)[0]
-
-
-def _find_sampler(
-    state: DaemonState, sampling: SamplingState, server: ServerState, now: float
-) -> str:
-    name = server.server.name
-    if is_granted(state, server.service):
-        return _find_owning_sampler(state, server, now)
-    sampler = sampling.samplers.get(name)
-    if sampler is None:
-        alive = sampling.alive.get(server.server.zone) or [
-            each for names in sampling.alive.values() for each in names
-        ]
-        ranked = rank_by_rendezvous(name, alive)
-        sampler = sampling.samplers[name] = ranked[0] if ranked else state.name
-    return sampler
-
-
 def _learn(state: DaemonState, sampling: SamplingState, answered: ProbeAnswered) -> list[Message]:
     name = answered.server
     sampling.pending.discard(name)
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -198,6 +198,8 @@
 def _take_counts(state: DaemonState, heard: HeartbeatHeard) -> None:
     for name, server in state.servers.states.items():
         count = heard.in_flight.get(name, 0)
+        if not count and heard.peer not in server.view.peers:
+            continue
         server.view.note_peer(heard.peer, count, heard.now)
         if count:
             state.times.routed_at[server.service] = heard.now
