Read an answer's headers once; one place for a call's first admission and for what followers need

Found by reading the change again: the headers of each answer were decoded to see whose it is and then once more; asking and admission noted a call's first admission each by itself; two followers and the directory took the same five parts one by one. Behaviour is the same.

--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -20,7 +20,7 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_admission_filter"]
+__all__ = ["make_admission_filter", "note_admitted"]
 
 # Share of its time that a request may wait where daemons share their view of the
 # load; later it is refused, so that its caller can still come back in time.
@@ -49,14 +49,24 @@
     refusal = _refuse(state, policies, routed, call_state)
     if refusal is not None:
         return _end_refused(state, call_state, refusal, routed.now)
-    if call_state.asker is None:
-        state.retries.find(routed.service.name, routed.service.retry_share).earn()
-        call_state.work = state.times.estimate(routed.service, routed.route)
-    call_state.admitted = True
+    note_admitted(state, call_state)
     queue.add(call_state)
     return [SlotFreed(now=routed.now, service=routed.service.name)]
 
 
+def note_admitted(state: DaemonState, call_state: CallState) -> None:
+    """Note that a call may wait for a slot, here or at an owner.
+
+    What a call of another daemon earns and takes is that daemon's to say.
+    """
+    call_state.admitted = True
+    if call_state.asker is not None:
+        return
+    routed = call_state.routed
+    state.retries.find(routed.service.name, routed.service.retry_share).earn()
+    call_state.work = state.times.estimate(routed.service, routed.route)
+
+
 def _refuse(
     state: DaemonState,
     policies: Mapping[str, Policy],
--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import codes
+from dotterelgate_core.admission import note_admitted
 from dotterelgate_core.binding import dispatch_call
 from dotterelgate_core.messages import CallRouted, Decision, Settled, Ticked
 from dotterelgate_core.owners import find_owner
@@ -112,9 +113,7 @@
     if not any(each.is_eligible(routed.now) for each in pool):
         return [routed]
     if not call_state.admitted:
-        state.retries.find(service.name, service.retry_share).earn()
-        call_state.admitted = True
-        call_state.work = state.times.estimate(service, routed.route)
+        note_admitted(state, call_state)
     call_state.queued = True
     asking.questions[routed.call.id] = Question(owner=owner, asked_at=routed.now)
     return [_build_question(call_state, owner, routed.now)]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
@@ -16,14 +16,8 @@
 from dotterelgate_daemon.store import StoreRecord, Topic
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from dotterelgate_border.datagrams import Datagram
-    from dotterelgate_core.pipes import Message
-    from dotterelgate_core.state import DaemonState
-    from dotterelgate_daemon.mesh import Mesh
-    from dotterelgate_daemon.platform import PlatformClient
-    from dotterelgate_daemon.store import StoreCalls
+    from dotterelgate_daemon.keyed_reading import StoreAccess
 
 __all__ = ["ConfigurationFollower"]
 
@@ -40,27 +34,19 @@
 class ConfigurationFollower:
     """Keeps the configuration in force, from the store and from peers."""
 
-    def __init__(
-        self,
-        *,
-        state: DaemonState,
-        calls: StoreCalls,
-        client: PlatformClient,
-        mesh: Mesh,
-        tell: Callable[[Message], None],
-    ) -> None:
-        self._state = state
-        self._calls = calls
-        self._mesh = mesh
-        self._tell = tell
+    def __init__(self, *, access: StoreAccess) -> None:
+        self._state = access.state
+        self._calls = access.calls
+        self._mesh = access.mesh
+        self._tell = access.tell
         self._document = b""
         self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
         self._asked_at = float("-inf")
         self._dependency = Dependency(name="the configuration's topic")
         self._reader = KeyedReader(
             topic=Topic.CONFIGURATION,
-            calls=calls,
-            client=client,
+            calls=access.calls,
+            client=access.client,
             take=self._take_records,
             listed=lambda keys, end: None,
             done=self._end_read,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
@@ -11,9 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dotterelgate_daemon.mesh import Mesh
-    from dotterelgate_daemon.platform import PlatformClient
-    from dotterelgate_daemon.store import StoreCalls
+    from dotterelgate_daemon.keyed_reading import StoreAccess
     from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["DaemonDirectory"]
@@ -29,21 +27,19 @@
         self,
         *,
         own: tuple[str, str],
-        calls: StoreCalls,
-        client: PlatformClient,
+        access: StoreAccess,
         timers: TimerService,
-        mesh: Mesh,
     ) -> None:
         self._own = own
-        self._calls = calls
-        self._client = client
+        self._calls = access.calls
+        self._client = access.client
         self._timers = timers
-        self._mesh = mesh
+        self._mesh = access.mesh
         self._dependency = Dependency(name="the daemons' topic")
         self._reader = KeyedReader(
             topic=Topic.DAEMONS,
-            calls=calls,
-            client=client,
+            calls=access.calls,
+            client=access.client,
             take=self._greet,
             listed=lambda keys, end: None,
             done=self._dependency.note_answer,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -231,19 +231,21 @@
         return encode_request_head(pending.call.method, pending.target, headers)
 
     def _is_own(self, pending: PendingCall, headers: HeaderList) -> bool:
-        answered = self.dialect.read_answer(headers).request_id
-        if answered is None or answered == pending.call.request_id:
+        """Read an answer's headers, and tell whether it is to this request."""
+        terms = self.dialect.read_answer(headers)
+        if terms.request_id is None or terms.request_id == pending.call.request_id:
+            pending.terms = terms
             return True
         logger.warning(
             "gateway: an answer to another request was dropped",
             request=pending.call.request_id,
-            answered=answered,
+            answered=terms.request_id,
         )
         return False
 
     def _begin_answer(self, pending: PendingCall, head: AnswerHead, server: str) -> None:
         pending.status = head.status
-        pending.terms = self.dialect.read_answer(head.headers)
+        assert pending.terms is not None
         if pending.exchange is not None:
             pending.exchange.idle_seconds = pending.terms.idle_seconds
         headers = select_end_to_end(head.headers, self.dialect.control)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
@@ -12,10 +13,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelgate_core.pipes import Message
+    from dotterelgate_core.state import DaemonState
+    from dotterelgate_daemon.mesh import Mesh
     from dotterelgate_daemon.platform import PlatformClient
     from dotterelgate_daemon.store import Listing, StoreCalls, StoreRecord, Tail, Topic
 
-__all__ = ["Dependency", "KeyedReader"]
+__all__ = ["Dependency", "KeyedReader", "StoreAccess"]
 
 logger = structlog.get_logger("store")
 
@@ -24,6 +28,23 @@
 LONGEST_PAUSE_SECONDS = 2.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreAccess:
+    """What a follower of a topic needs besides its own state.
+
+    :param calls: how the store is asked
+    :param client: sends the calls
+    :param mesh: reaches the peers
+    :param tell: runs a message through the control pipeline
+    """
+
+    state: DaemonState
+    calls: StoreCalls
+    client: PlatformClient
+    mesh: Mesh
+    tell: Callable[[Message], None]
+
+
 class Dependency:
     """Whether a part of the platform answers; tells the log when that changes."""
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -20,15 +20,9 @@
 from dotterelgate_daemon.store import StoreRecord, Topic
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from dotterelgate_border.datagrams import Datagram
-    from dotterelgate_core.pipes import Message
     from dotterelgate_core.registry import Registration, RegistryState
-    from dotterelgate_core.state import DaemonState
-    from dotterelgate_daemon.mesh import Mesh
-    from dotterelgate_daemon.platform import PlatformClient
-    from dotterelgate_daemon.store import StoreCalls
+    from dotterelgate_daemon.keyed_reading import StoreAccess
 
 __all__ = ["RegistryFollower"]
 
@@ -48,21 +42,12 @@
 class RegistryFollower:
     """Keeps the entries of backend servers, from the store and from peers."""
 
-    def __init__(
-        self,
-        *,
-        state: DaemonState,
-        registry: RegistryState,
-        calls: StoreCalls,
-        client: PlatformClient,
-        mesh: Mesh,
-        tell: Callable[[Message], None],
-    ) -> None:
-        self._state = state
+    def __init__(self, *, access: StoreAccess, registry: RegistryState) -> None:
+        self._state = access.state
         self._registry = registry
-        self._calls = calls
-        self._mesh = mesh
-        self._tell = tell
+        self._calls = access.calls
+        self._mesh = access.mesh
+        self._tell = access.tell
         self._known: dict[str, Registration | None] = {}
         self._entries: dict[str, RegistryEntry] = {}
         self._has_failed = False
@@ -72,8 +57,8 @@
         self._dependency = Dependency(name="the registry's topic")
         self._reader = KeyedReader(
             topic=Topic.REGISTRY,
-            calls=calls,
-            client=client,
+            calls=access.calls,
+            client=access.client,
             take=lambda records: self._take_records(records, "the store"),
             listed=self._note_listing,
             done=self._end_read,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -26,6 +26,7 @@
 from dotterelgate_daemon.endpoint import Endpoint, serve_endpoint
 from dotterelgate_daemon.explanation import describe_front, explain_route
 from dotterelgate_daemon.foundation import lay_foundation
+from dotterelgate_daemon.keyed_reading import StoreAccess
 from dotterelgate_daemon.measuring import Prober
 from dotterelgate_daemon.mesh import Mesh
 from dotterelgate_daemon.platform import PlatformClient
@@ -237,29 +238,12 @@
         metrics=base.metrics,
         tell=control.run,
     )
-    control.configuration = ConfigurationFollower(
-        state=state,
-        calls=calls,
-        client=client,
-        mesh=mesh,
-        tell=control.run,
-    )
-    control.registry = RegistryFollower(
-        state=state,
-        registry=registry,
-        calls=calls,
-        client=client,
-        mesh=mesh,
-        tell=control.run,
-    )
+    access = StoreAccess(state=state, calls=calls, client=client, mesh=mesh, tell=control.run)
+    control.configuration = ConfigurationFollower(access=access)
+    control.registry = RegistryFollower(access=access, registry=registry)
     control.directory = DaemonDirectory(
-        own=(settings.name, settings.peers),
-        calls=calls,
-        client=client,
-        timers=base.timers,
-        mesh=mesh,
+        own=(settings.name, settings.peers), access=access, timers=base.timers
     )
-
     exchange = SlotExchange(state=state, mesh=mesh, tell=base.gateway.run)
     base.gateway.add_sinks(exchange.sinks)
 
