Run both load patterns by one subject

The pattern of one daemon was a copy with small variations of the one of several daemons; it is that one with one daemon now, which also counts the way of requests and answers.

--- a/features/steps/pattern_steps.py
+++ b/features/steps/pattern_steps.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from subjects.crowd import Crowd
+from subjects.zone import ZoneCrowd
 
 CREST_FROM, CREST_TO = 3.0, 5.0
+# One daemon whose requests all take alike; those that are refused do not come back.
+ONE_DAEMON = {
+    "fronts": 1,
+    "work": 0.05,
+    "target": 0.2,
+    "limit": 0.5,
+    "seconds": 8.0,
+    "returns": 0,
+    "tail_share": 0.0,
+    "tick_steps": 2,
+}
 
 
 @given("{servers:d} backend servers whose neighbours slow each five times in a quarter of the time")
@@ -16,7 +27,7 @@
 def run_both(context, seed, rate):
     """Run a pattern with the shared queue and with what it has to beat."""
     context.shared, context.least = (
-        Crowd(policy=policy, seed=seed, rate=rate, servers=context.servers).run()
+        ZoneCrowd(policy=policy, seed=seed, rate=rate, servers=context.servers, **ONE_DAEMON).run()
         for policy in ("shared_queue", "least_in_flight")
     )
 
--- a/features/subjects/zone.py
+++ b/features/subjects/zone.py
@@ -1,4 +1,4 @@
-"""Subject: several daemons of one availability zone under load, without a network."""
+"""Subject: one or several daemons of an availability zone under load, without a network."""
 
 from __future__ import annotations
 
@@ -24,8 +24,8 @@
     WithdrawSlot,
 )
 from dotterelgate_daemon.mesh import build_load_entry, read_load_news
-from subjects.crowd import CROWDED_FACTOR, NOISE_SHARE, Noisy
 from subjects.front import Front
+from subjects.noisy import CROWDED_FACTOR, NOISE_SHARE, Noisy
 
 STEP_SECONDS = 0.002
 TICK_STEPS = 10
@@ -60,6 +60,8 @@
     :param returns: times that a refused caller comes back, as it was advised
     :param noise_share: share of the time in which neighbours slow a backend server
     :param crowded_factor: slowdown of one that is nearly full
+    :param tail_share: share of the requests that take far longer than the rest
+    :param tick_steps: steps between the ticks of a daemon
     :param loss: share of the datagrams between daemons that are lost
     """
 
@@ -77,12 +79,15 @@
     loss: float = 0.0
     noise_share: float = NOISE_SHARE
     crowded_factor: float = CROWDED_FACTOR
+    tail_share: float = TAIL_SHARE
+    tick_steps: int = TICK_STEPS
     in_target: int = 0
     late: int = 0
     refused: int = 0
     lost: int = 0
     asked: int = 0
     queued_at_server: int = 0
+    refusal_seconds: list[float] = field(default_factory=list)
     ran: set = field(default_factory=set)
     told_not_run: set = field(default_factory=set)
 
@@ -132,7 +137,7 @@
             for key in server.step(self.now):
                 self._call_later(WAY_SECONDS, lambda key=key, server=server: self._end(key, server))
         for number, front in enumerate(self._fronts):
-            if (step + number) % TICK_STEPS == 0:
+            if (step + number) % self.tick_steps == 0:
                 self._take(front, front.tick())
             if (step + number) % BEAT_STEPS == 0:
                 self._beat(front)
@@ -226,7 +231,7 @@
             return
         server = self._servers[name]
         self.queued_at_server += len(server.running) >= server.slots
-        tail = TAIL_FACTOR if self._random.random() < TAIL_SHARE else 1.0
+        tail = TAIL_FACTOR if self._random.random() < self.tail_share else 1.0
         server.start(key, self.now, work=self.work * tail)
 
     def _end(self, key: tuple, server: Noisy) -> None:
@@ -259,6 +264,7 @@
             self.lost += 1
             return
         self.told_not_run.add(key)
+        self.refusal_seconds.append(self.now - asked.first)
         advice = order.refusal.retry_after
         if advice is None or asked.tries > self.returns:
             self.refused += 1
