--- a/features/daemons_share_slots.feature
+++ b/features/daemons_share_slots.feature
@@ -63,3 +63,8 @@
     Given two fronts of which the other owns the service
     When the owner says that it knows no backend server
     Then the next read is dispatched without a question
+
+  Scenario: The explanation of a route names the daemon that grants its slots
+    Given two fronts of which the other owns the service
+    When each explains where a read would go
+    Then both name that owner
--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 
 from behave import given, then, when
 from subjects.front import Front, find
@@ -21,10 +22,12 @@
     SlotGranted,
     WithdrawSlot,
 )
+from dotterelgate_daemon.explanation import explain_route
 
 SWING = 0.55
 PERIOD_SECONDS = 6.0
 TICK_SECONDS = 0.02
+FAR_DAEMONS = 8
 
 
 @given("{servers:d} backend servers and a wave around {rate:d} requests a second, seed {seed:d}")
@@ -223,3 +226,23 @@
     _, orders = context.front.arrive()
     assert find(orders, AskSlot) is None
     assert find(orders, messages.Dispatch) is not None
+
+
+@when("each explains where a read would go")
+def explain(context):
+    pair = (context.front, context.owner)
+    for front, other in (pair, reversed(pair)):
+        # The explanation goes by the clock of the process.
+        front.now = time.monotonic()
+        front.hear_peer(other.state.name)
+        for number in range(FAR_DAEMONS):
+            front.hear_peer(f"far-{number}", zone="south")
+    context.named = [
+        explain_route(front.state, "GET", "h", "/read/x")["owner"]
+        for front in (context.front, context.owner)
+    ]
+
+
+@then("both name that owner")
+def check_named(context):
+    assert context.named == [context.owner.state.name] * 2, context.named
--- a/packages/dotterelgate-core/src/dotterelgate_core/reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/reading.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ControlTicked
+from dotterelgate_core.pauses import find_pause
 from dotterelgate_core.peers import rank_by_rendezvous
 from dotterelgate_core.registry import StoreReturned
 from dotterelgate_core.sharing import select_alive
@@ -198,9 +199,7 @@
 
 
 def _find_pause(failures: int) -> float:
-    if not failures:
-        return 0.0
-    return min(FIRST_PAUSE_SECONDS * 2 ** (failures - 1), LONGEST_PAUSE_SECONDS)
+    return find_pause(failures, first=FIRST_PAUSE_SECONDS, longest=LONGEST_PAUSE_SECONDS)
 
 
 def _find_place(state: DaemonState, reading: ReadingState, now: float) -> int:
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.loads import LoadView
+from dotterelgate_core.pauses import find_pause
 
 if TYPE_CHECKING:
     from dotterelgate_core.configuration import BackendServer, Service
@@ -109,8 +110,11 @@
         self.used_at = now
         if self.failures < FAILURES_BEFORE_PAUSE:
             return
-        pause = PAUSE_SECONDS * 2 ** (self.failures - FAILURES_BEFORE_PAUSE)
-        self.paused_until = now + min(pause, PAUSE_LIMIT_SECONDS)
+        self.paused_until = now + find_pause(
+            self.failures - FAILURES_BEFORE_PAUSE + 1,
+            first=PAUSE_SECONDS,
+            longest=PAUSE_LIMIT_SECONDS,
+        )
         self.ramp = 1
         self.ramp_successes = 0
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -5,8 +5,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from dotterelgate_core import owners, owning
 from dotterelgate_core.messages import Call
-from dotterelgate_core.owning import find_owner
 from dotterelgate_core.routes import find_route
 
 if TYPE_CHECKING:
@@ -73,6 +73,13 @@
         "idempotent": route.idempotent,
         "priority": route.priority.name.lower(),
         "policy": service.policy,
-        "owner": find_owner(state, service.name),
+        "owner": _name_owner(state, service.name, now),
         "servers": [_describe_server(each, now) for each in pool],
     }
+
+
+def _name_owner(state: DaemonState, service: str, now: float) -> str:
+    """Name the daemon whose queue a request of a service waits in."""
+    if owners.is_granted(state, service):
+        return owners.find_owner(state, service, now)
+    return owning.find_owner(state, service)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -9,6 +9,7 @@
 import structlog
 
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.pauses import find_pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,7 +70,7 @@
             self._since = time.monotonic()
             logger.warning(f"store: {self._name} is lost", reason=reason)
         self._failures += 1
-        return min(FIRST_PAUSE_SECONDS * 2 ** (self._failures - 1), LONGEST_PAUSE_SECONDS)
+        return find_pause(self._failures, first=FIRST_PAUSE_SECONDS, longest=LONGEST_PAUSE_SECONDS)
 
 
 class KeyedReader:
