Bound what broken servers send, and take only answers that name their request

Refusals ("not run") were collected without a bound as well, answers of the platform's services and trailers of callers too. - An answer without a request's id was taken for the answer, so an earlier refusal or a probe's answer written once more on a kept connection reached the next caller: 503 for a request that ran, 200 with an empty body. - A refusal of the same request, repeated, fitted its second attempt on the same connection.

Change: the reader ends an answer after 65,536 bytes of a head (each field counts 32 more) or 262,144 bytes in which nothing of the expected body came, or eight answers to others; the call is settled as "may have run". Where a dialect says that answers name their request, one without an id is skipped, and a probe takes only answers without one; elsewhere probes have connections of their own. A connection remembers the requests that it refused or failed; their next attempts go over another, and where answers name nothing it is closed. An answer that ended in the middle of received bytes passes nothing more on. platform_answer_limit is new.

Ruled out: an answer that is cut at any byte of its head, with and without a length, on new and kept connections, was never complete before either.

--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -46,6 +46,9 @@
     peers: Annotated[Address, _describe("address for messages from other daemons")]
     endpoint: Annotated[Address, _describe("address of health, metrics and status")]
     platform_timeout: Annotated[float, _bound(0.1, 60)] = 2.0
+    platform_answer_limit: Annotated[
+        int, _bound(65_536, 1_073_741_824, "largest answer of the platform's services")
+    ] = 33_554_432
     head_limit: Annotated[int, _bound(1024, 1_048_576)] = 32_768
     kept_body_limit: Annotated[int, _bound(0, 16_777_216)] = 262_144
     stop_limit: Annotated[float, _bound(0, 3600, "longest graceful stop")] = 60.0
@@ -72,6 +75,8 @@
 class StoreDaemonSettings(CommonSettings, frozen=True, kw_only=True):
     """All settings of a daemon that follows a platform's keyed store."""
 
+    # Pages and reads of the store have 1 MB at most.
+    platform_answer_limit: Annotated[int, _bound(65_536, 1_073_741_824)] = 4_194_304
     store: Annotated[Address, _describe("address of the platform's store")]
     metrics: Annotated[Address, _describe("address of the metrics for the platform")]
     retry_share: Annotated[float, _bound(0, 1, "retries allowed per request")] = 0.1
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -225,6 +225,7 @@
             timers=base.timers,
             metrics=base.metrics,
             timeout=settings.platform_timeout,
+            answer_limit=settings.platform_answer_limit,
             channel=channel,
         )
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
@@ -51,6 +51,14 @@
 )
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = (204, 304)
+# A field's cost beside its bytes, as HTTP/2 counts it (RFC 9113, 6.5.2); it keeps many short
+# fields from taking far more memory than their bytes.
+_FIELD_OVERHEAD_BYTES = 32
+ANSWER_HEAD_LIMIT_BYTES = 65_536
+# Bytes read without any of the expected answer's body among them: its head, interim answers,
+# answers to other requests, trailers.
+UNEXPECTED_LIMIT_BYTES = 262_144
+MAX_SKIPPED_ANSWERS = 8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,6 +117,7 @@
         self._target = b""
         self._headers: HeaderList = []
         self._head_bytes = 0
+        self._trailer_bytes = 0
         self._in_head = True
         self._failed = False
 
@@ -138,12 +147,16 @@
         self._target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Library callback."""
-        self._headers.append((name.lower(), value))
+        """Library callback, for trailers too, which are not passed on."""
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+        else:
+            self._count_trailer(name, value)
 
     def on_headers_complete(self) -> None:
         """Library callback."""
         self._in_head = False
+        self._trailer_bytes = 0
         self._head_bytes = 0
         if self._failed:
             return
@@ -164,6 +177,11 @@
         if not self._failed:
             self._end()
 
+    def _count_trailer(self, name: bytes, value: bytes) -> None:
+        self._trailer_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        if self._trailer_bytes > self._head_limit:
+            self._fail(codes.HEAD_TOO_LARGE, f"the trailers exceed {self._head_limit} bytes")
+
     def _find_problem(self) -> tuple[ResultCode, str] | None:
         if self._parser.should_upgrade():
             return codes.UNSUPPORTED, "protocol upgrades are not offered"
@@ -202,6 +220,9 @@
 class AnswerReader:
     """Parses one answer; each exchange on a connection has its own reader.
 
+    What is read beside the answer's body is bounded, since a broken server may send a head,
+    trailers or other answers without end.
+
     :param method: method of the request, since an answer to HEAD has no body
     :param begin: called with the head
     :param body: called with each part of the body
@@ -231,8 +252,11 @@
         self._end = end
         self._parser = httptools.HttpResponseParser(self)
         self._headers: HeaderList = []
+        self._has_head = False
+        self._head_bytes = 0
+        self._unexpected_bytes = 0
+        self._skipped_answers = 0
         self._is_complete = False
-        self._had_mismatch = False
         self.problem: str | None = None
         self.may_reuse = True
 
@@ -241,23 +265,32 @@
         if self._is_complete:
             self.may_reuse = False
             return
+        self._unexpected_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.may_reuse = False
-            if not self._is_complete:
-                self.problem = str(error) or "not a valid answer"
+            self._note_problem(str(error) or "not a valid answer")
+        if self._unexpected_bytes > UNEXPECTED_LIMIT_BYTES:
+            self._note_problem(f"{UNEXPECTED_LIMIT_BYTES} bytes without the expected answer")
 
     def on_message_begin(self) -> None:
         """Library callback."""
         self._headers = []
+        self._head_bytes = 0
         self._is_mismatched = False
         if self._is_complete:
             self.may_reuse = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Library callback."""
-        self._headers.append((name.lower(), value))
+        """Library callback, for trailers too, which are not passed on."""
+        if self._is_complete or self.problem:
+            return
+        self._head_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        if self._head_bytes > ANSWER_HEAD_LIMIT_BYTES:
+            self._note_problem(f"its head or trailers exceed {ANSWER_HEAD_LIMIT_BYTES} bytes")
+        elif not self._has_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Library callback."""
@@ -266,7 +299,9 @@
             return
         if not self._matches_request(self._headers):
             self._is_mismatched = True
-            self._had_mismatch = True
+            self._skipped_answers += 1
+            if self._skipped_answers > MAX_SKIPPED_ANSWERS:
+                self._note_problem(f"more than {MAX_SKIPPED_ANSWERS} answers to other requests")
             return
         chunked = find_header(self._headers, b"transfer-encoding") is not None
         length = find_header(self._headers, b"content-length")
@@ -276,13 +311,14 @@
                 self.problem = "neither Content-Length nor chunked, so a cut could not be told"
                 return
             self._is_close_delimited = True
-        self.may_reuse = self._parser.should_keep_alive() and not self._had_mismatch
+        self.may_reuse = self._parser.should_keep_alive() and not self._skipped_answers
         head = AnswerHead(
             status=status,
             headers=self._headers,
             length=None if chunked or length is None else int(length),
             has_body=has_body,
         )
+        self._has_head = True
         self._begin(head)
         if self._method == "HEAD":
             # The parser has no setting for answers without a body.
@@ -292,6 +328,7 @@
     def on_body(self, part: bytes) -> None:
         """Library callback."""
         if not self._is_complete and not self.problem and not self._is_mismatched:
+            self._unexpected_bytes = 0
             self._body(part)
 
     def on_message_complete(self) -> None:
@@ -318,6 +355,10 @@
         self._is_complete = True
         self._end()
 
+    def _note_problem(self, problem: str) -> None:
+        if not self._is_complete and self.problem is None:
+            self.problem = problem
+
 
 def find_header(headers: HeaderList, name: bytes) -> bytes | None:
     """Return the first value of a header by its lower-case name."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/dialect.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/dialect.py
@@ -75,6 +75,7 @@
 
     :param control: lower-case names of headers that are neither dispatched nor relayed
     :param allows_close_delimited: whether the end of the connection may end an answer's body
+    :param answers_name_requests: whether backend servers repeat a request's id in its answer
     """
 
     control: frozenset[bytes]
@@ -85,6 +86,19 @@
     write_refusal: Callable[[Refusal], HeaderList]
     write_answer: Callable[[str], HeaderList]
     allows_close_delimited: bool = False
+    answers_name_requests: bool = False
+
+    def is_answer_to(self, terms: AnswerTerms, request_id: str) -> bool:
+        """Return whether an answer may belong to a request.
+
+        Where answers name their requests, one without an id proves nothing: a broken server
+        may repeat an earlier answer, or the answer to a probe, on the same connection.
+
+        :param request_id: the request's id, empty for requests that carry none and for probes
+        """
+        if terms.request_id is None:
+            return not (self.answers_name_requests and request_id)
+        return terms.request_id == request_id
 
 
 def _read_request(headers: HeaderList) -> RequestTerms | Refusal:
@@ -110,8 +124,11 @@
         in_flight=int(in_flight) if in_flight is not None and in_flight.isdigit() else None,
         draining=find_header(headers, b"server-state") == b"draining",
     )
+    request_id = find_header(headers, b"request-id")
     return AnswerTerms(
-        report=report, not_run=find_header(headers, b"request-outcome") == b"not-run"
+        report=report,
+        not_run=find_header(headers, b"request-outcome") == b"not-run",
+        request_id=request_id.decode("latin-1") if request_id is not None else None,
     )
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -34,6 +34,9 @@
 # Backend servers that drop idle connections early do so for some seconds (6 to 7 s in the
 # platform's site files).
 REDUCED_REUSE_SECONDS = 10.0
+# A connection that answered more requests with failures is closed, so that the ids it
+# remembers stay few.
+MAX_FAILED_REQUESTS = 16
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,6 +64,7 @@
     :param drained: called when more of the request's body can be sent
     :param matches_request: returns whether headers belong to the answer to this request
     :param allows_close_delimited: whether the end of the connection may end the answer's body
+    :param request_id: id that the answer repeats, empty where answers name no request
     """
 
     def __init__(
@@ -78,23 +82,27 @@
         drained: Callable[[], None] | None = None,
         matches_request: Callable[[HeaderList], bool] = lambda headers: True,
         allows_close_delimited: bool = False,
+        request_id: str = "",
     ) -> None:
         self._head = head
         self._initial_body = bytearray(body)
         self._drained = drained
         self._body_ended = body_ended
         self._chunked = chunked
+        self._part = part
         self._completed = completed
         self._failed = failed
         self._reader = AnswerReader(
             method=method,
             begin=begin,
-            body=part,
+            body=self._pass_on,
             end=self._finish,
             matches_request=matches_request,
             allows_close_delimited=allows_close_delimited,
         )
+        self.request_id = request_id
         self.idle_seconds: float | None = None
+        self.is_failure = False
         self.has_answered = False
         self.started_at = 0.0
         self._is_ended = False
@@ -149,6 +157,8 @@
             return
         self.has_answered = True
         self._reader.feed(data)
+        if self._is_ended:
+            return
         if self._is_complete:
             self._complete()
         elif self._reader.problem is not None:
@@ -187,6 +197,11 @@
             return False
         return self.stream.sent_bytes - self._sent_before >= len(self._head)
 
+    def _pass_on(self, part: bytes) -> None:
+        # A part may end the exchange; the same bytes may hold more of them.
+        if not self._is_ended:
+            self._part(part)
+
     def _finish(self) -> None:
         self._is_complete = True
 
@@ -203,6 +218,18 @@
     idle_since: float = 0.0
     idle_seconds: float | None = None
     idle_before_use: float | None = None
+    failed_requests: set[str] = field(default_factory=set)
+
+    def note_failure(self, request_id: str) -> bool:
+        """Note that a request was answered with a refusal or a failure.
+
+        A broken server may write that answer once more when the next one is due. Where the
+        answer names its request, only a further attempt of that request could take it.
+
+        :returns: whether other requests may use the connection
+        """
+        self.failed_requests.add(request_id)
+        return bool(request_id) and len(self.failed_requests) <= MAX_FAILED_REQUESTS
 
 
 @dataclass(kw_only=True, slots=True)
@@ -255,7 +282,7 @@
         :param fresh: whether to avoid connections that have been idle for long,
             since the server may close them at the moment of sending
         """
-        connection = self._pop_idle(fresh=fresh)
+        connection = self._pop_idle(exchange.request_id, fresh=fresh)
         if connection is not None:
             self._attach(connection, exchange)
             assert connection.stream is not None
@@ -273,17 +300,23 @@
                 self._discard(connection)
         self.idle = keep
 
-    def _pop_idle(self, *, fresh: bool) -> _Connection | None:
-        while self.idle:
+    def _pop_idle(self, request_id: str, *, fresh: bool) -> _Connection | None:
+        now = time.monotonic()
+        passed_over = []
+        found = None
+        while self.idle and found is None:
             connection = self.idle.pop()
-            now = time.monotonic()
             idle = now - connection.idle_since
             limit = self._find_idle_limit(connection, fresh=fresh)
-            if idle <= min(limit, self.reuse_limit.find_limit(now)):
+            if idle > min(limit, self.reuse_limit.find_limit(now)):
+                self._discard(connection)
+            elif request_id in connection.failed_requests:
+                passed_over.append(connection)
+            else:
                 connection.idle_before_use = idle
-                return connection
-            self._discard(connection)
-        return None
+                found = connection
+        self.idle.extend(reversed(passed_over))
+        return found
 
     @staticmethod
     def _find_idle_limit(connection: _Connection, *, fresh: bool) -> float:
@@ -319,6 +352,8 @@
 
         def release(reuse: bool) -> None:
             connection.exchange = None
+            if reuse and exchange.is_failure:
+                reuse = connection.note_failure(exchange.request_id)
             if reuse and connection.stream is not None and connection.stream.is_open:
                 connection.stream.drained = None
                 connection.idle_seconds = exchange.idle_seconds
@@ -376,16 +411,19 @@
     def __init__(self, *, streams: StreamService) -> None:
         self._streams = streams
         self._reuse_limit = IdleReuseLimit()
-        self._pools: dict[str, Pool] = {}
+        self._pools: dict[tuple[str, str], Pool] = {}
+
+    def find(self, address: str, *, limit: int, purpose: str = "") -> Pool:
+        """Return the pool of an address, created on first use.
 
-    def find(self, address: str, *, limit: int) -> Pool:
-        """Return the pool of an address, created on first use."""
-        pool = self._pools.get(address)
+        :param purpose: keeps exchanges apart that may not share connections
+        """
+        pool = self._pools.get((address, purpose))
         if pool is None:
             pool = Pool(
                 address=address, streams=self._streams, limit=limit, reuse_limit=self._reuse_limit
             )
-            self._pools[address] = pool
+            self._pools[address, purpose] = pool
         pool.limit = limit
         return pool
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -11,6 +11,7 @@
 from dotterelgate_core import codes, messages
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.control_messages import AnnounceLeaving
+from dotterelgate_core.learning import FIRST_FAILURE_STATUS
 from dotterelgate_daemon.codec import (
     encode_request_head,
     select_end_to_end,
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelgate_core.codes import ResultCode
     from dotterelgate_core.messages import Call, Dispatch
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_daemon.codec import AnswerHead, HeaderList
@@ -144,10 +146,10 @@
         pending = self.pending.get(call_id)
         if pending is None:
             return
-        if not pending.body_ended and pending.exchange is not None:
+        if not pending.body_ended:
             # The rest of the body cannot arrive.
-            refusal = Refusal(codes.CALLER_GONE, "the caller left before its body was whole")
-            pending.exchange.fail(refusal)
+            reason = "the caller left before its body was whole"
+            self._fail_exchange(pending, codes.CALLER_GONE, reason)
         pending.reply = NULL_REPLY
         self.run(messages.CallerDisconnected(now=time.monotonic(), call_id=call_id))
 
@@ -199,6 +201,7 @@
             drained=pending.resume_caller if pending.call.streamed else None,
             matches_request=lambda headers: self._matches_request(pending, headers),
             allows_close_delimited=self.dialect.allows_close_delimited,
+            request_id=pending.call.request_id if self.dialect.answers_name_requests else "",
         )
         pending.exchange = exchange
         limit = max(server.slots, server.connections // max(1, self._count_daemons()))
@@ -233,7 +236,7 @@
     def _matches_request(self, pending: PendingCall, headers: HeaderList) -> bool:
         """Read an answer's headers and return whether it answers this request."""
         terms = self.dialect.read_answer(headers)
-        if terms.request_id is None or terms.request_id == pending.call.request_id:
+        if self.dialect.is_answer_to(terms, pending.call.request_id):
             pending.terms = terms
             return True
         logger.warning(
@@ -248,6 +251,9 @@
         assert pending.terms is not None
         if pending.exchange is not None:
             pending.exchange.idle_seconds = pending.terms.idle_seconds
+            pending.exchange.is_failure = (
+                pending.terms.not_run or head.status >= FIRST_FAILURE_STATUS
+            )
         headers = select_end_to_end(head.headers, self.dialect.control)
         pending.start = AnswerStart(
             status=head.status, headers=headers, length=head.length, server=server
@@ -258,17 +264,29 @@
             pending.reply.part(part)
         else:
             pending.answer_body += part
-            if len(pending.answer_body) <= self._buffer_limit or _is_not_run(pending):
+            if len(pending.answer_body) <= self._buffer_limit:
+                return
+            if _is_not_run(pending):
+                self._fail_exchange(pending, codes.ANSWER_INVALID, "a refusal with a large body")
                 return
             assert pending.start is not None
             pending.relay_started = True
             pending.reply.begin(pending.start)
             pending.reply.part(bytes(pending.answer_body))
             pending.answer_body.clear()
+        if pending.reply is NULL_REPLY:
+            # Nobody reads the rest, which may have no end.
+            self._fail_exchange(pending, codes.CALLER_GONE, "the caller left during its answer")
+            return
         if pending.reply.is_full() and pending.exchange is not None:
             if pending.exchange.stream is not None:
                 pending.exchange.stream.pause()
 
+    @staticmethod
+    def _fail_exchange(pending: PendingCall, code: ResultCode, reason: str) -> None:
+        if pending.exchange is not None:
+            pending.exchange.fail(Refusal(code, reason))
+
     def resume_answer(self, call_id: int) -> None:
         """Resume reading from the backend server after the reply was full."""
         pending = self.pending.get(call_id)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -27,6 +27,7 @@
     """Sends requests to one service of the platform.
 
     :param timeout: seconds to wait for an answer
+    :param answer_limit: largest body of an answer, in bytes
     :param channel: label of the bytes in the metrics
     """
 
@@ -38,6 +39,7 @@
         timers: TimerService,
         metrics: Metrics,
         timeout: float,
+        answer_limit: int,
         channel: str,
     ) -> None:
         self._address = address
@@ -45,6 +47,7 @@
         self._timers = timers
         self._metrics = metrics
         self._timeout = timeout
+        self._answer_limit = answer_limit
         self._channel = channel
 
     def request_document(
@@ -99,6 +102,13 @@
         ]
         received = bytearray()
         statuses: list[int] = []
+
+        def receive_part(part: bytes) -> None:
+            received.extend(part)
+            if len(received) > self._answer_limit:
+                reason = f"{self._address} sent more than {self._answer_limit} bytes"
+                exchange.fail(Refusal(codes.ANSWER_INVALID, reason))
+
         exchange = Exchange(
             method=method,
             head=encode_request_head(method, path, headers),
@@ -106,7 +116,7 @@
             body_ended=True,
             chunked=False,
             begin=lambda head: statuses.append(head.status),
-            part=received.extend,
+            part=receive_part,
             completed=lambda: on_answer(statuses[-1], bytes(received)),
             failed=lambda end: on_failure(end.refusal.reason),
         )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -26,6 +26,7 @@
 
 # Interval at which overdue probes are failed.
 SWEEP_SECONDS = 0.1
+PROBES = "probes"
 
 
 class Prober:
@@ -89,8 +90,13 @@
             part=lambda part: None,
             completed=lambda: report_end(answered=True),
             failed=lambda end: report_end(answered=False),
+            matches_request=lambda received: self._dialect.is_answer_to(
+                self._dialect.read_answer(received), ""
+            ),
         )
-        pool = self._pools.find(server.address, limit=server.connections)
+        # An answer that names no request could be taken for one to a probe, or the reverse.
+        purpose = "" if self._dialect.answers_name_requests else PROBES
+        pool = self._pools.find(server.address, limit=server.connections, purpose=purpose)
         pool.run(exchange, fresh=False)
         self._pending.append((time.monotonic() + order.timeout, exchange, server.name))
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -228,6 +228,7 @@
         timers=base.timers,
         metrics=base.metrics,
         timeout=settings.platform_timeout,
+        answer_limit=settings.platform_answer_limit,
         channel="store",
     )
     control.mesh = mesh = Mesh(
