Keep large zones in touch at a bounded cost, and readers of the registry without gaps

Cause, on large zones (52 to 62 daemons): - Every daemon sent each heartbeat to each of its zone: 250 datagrams a second in and out, and each that arrived was applied by a look at all 241 backend servers. On ticks all servers were looked through for those to sample. Without I/O that took 3.0% of a core for each daemon. - A follower that became the reader claimed no history, so all its peers had a gap and read the store on their own, the 40th in rank 8.8 s later.

Change: owners, their successors and the readers exchange each heartbeat with all; other pairs one in six at 62 daemons, as each heartbeat states. Followers note their positions as readers do. A daemon without 3 s of history lets others read first; what exceeds a datagram goes in several. While the store answers, no rank waits longer than 1.8 s.

--- /dev/null
+++ b/features/steps/large_zone_steps.py
@@ -0,0 +1,164 @@
+"""Steps on zones of many daemons."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from subjects.large_zone import Follower, LargeZone, build_record
+from subjects.store_daemon import StoreDaemon, find
+
+from dotterelgate_core.peers import rank_by_rendezvous
+from dotterelgate_core.store_reading import (
+    READER_SUBJECT,
+    REPEAT_SECONDS,
+    ReadRegistry,
+    RegistryReadEnded,
+    RegistryUpdateReceived,
+)
+from dotterelgate_daemon.store import StoreRecord
+
+NAMES = [f"i-{number}" for number in range(10)]
+
+
+@given("a zone of {count:d} daemons in which {loss:d} in 100 heartbeats are lost, seed {seed:d}")
+def start_zone(context, count, loss, seed):
+    context.zone = LargeZone(daemons=count, loss=loss / 100, seed=seed)
+
+
+@when("{seconds:g} s go by")
+def run(context, seconds):
+    context.zone.run(seconds)
+
+
+@when("{seconds:g} s go by, in which first heartbeats may be lost")
+def run_start(context, seconds):
+    context.zone.run(seconds)
+    context.zone.view_changes = 0
+
+
+@when("the owners and successors of all services are killed")
+def kill(context):
+    context.zone.kill_owners()
+
+
+@then("at most {share:d} in 10 of the heartbeats of all pairs were sent")
+def check_share(context, share):
+    assert context.zone.sent <= context.zone.pairs * share / 10, (
+        context.zone.sent,
+        context.zone.pairs,
+    )
+
+
+@then("all of the heartbeats of all pairs were sent")
+def check_all(context):
+    assert context.zone.sent == context.zone.pairs
+
+
+@then("every living daemon names the same living owners, all the while")
+def check_stable(context):
+    check_same(context)
+    assert context.zone.view_changes == 0, context.zone.view_changes
+
+
+@then("every living daemon names the same living owners")
+def check_same(context):
+    views = {context.zone.read_view(name) for name in context.zone.alive}
+    assert len(views) == 1, views
+    assert set(views.pop()) <= context.zone.alive
+
+
+@given("two daemons that follow a reader of the registry up to position 10")
+def follow(context):
+    reader, *context.followers = (Follower(name) for name in ("front-1", "front-2", "front-3"))
+    for each in (reader, *context.followers):
+        each.list_all(NAMES, end=9)
+        each.mesh.sent.clear()
+    reader.read([build_record("i-new", 9)], end=10)
+    for each in context.followers:
+        assert each.receive(reader.mesh.sent[-1])
+
+
+@when("the first of them reads a removal at position 11 itself")
+def read_removal(context):
+    context.followers[0].read([StoreRecord(key="i-3", offset=11, value=None)], end=12)
+
+
+@when("the first of them lists the registry again and a server is missing")
+def list_again(context):
+    left = [each for each in (*NAMES, "i-new") if each != "i-3"]
+    context.followers[0].reader.position = None
+    context.followers[0].list_all(left, end=12)
+
+
+@then("its update brings the other to position 12 without a gap, and without the server")
+def check_update(context):
+    first, other = context.followers
+    assert other.receive(first.mesh.sent[-1]), first.mesh.sent[-1]
+    assert other.reader.position == 12, other.reader.position
+    assert "i-3" not in other.daemon.state.servers.states
+    assert set(other.daemon.state.servers.states) == {*NAMES, "i-new"} - {"i-3"}
+
+
+@given("a daemon that lists {count:d} entries")
+def list_entries(context, count):
+    context.follower = Follower("front-1")
+    context.follower.list_all([f"i-{number}" for number in range(count)], end=count)
+
+
+@then("its update holds no entries and claims no history")
+def check_no_news(context):
+    (update,) = context.follower.mesh.sent
+    assert update.entries == [] and update.start == update.end, update
+
+
+@given("a daemon that ranks last of {count:d} in its zone")
+def start_last(context, count):
+    names = [f"front-{number}" for number in range(count)]
+    *others, last = rank_by_rendezvous(READER_SUBJECT, names)
+    context.daemon = StoreDaemon(name=last)
+    context.daemon.configure()
+    context.daemon.tick()
+    context.daemon.now += REPEAT_SECONDS
+    for name in others:
+        context.daemon.receive_heartbeat(name)
+    receive_update(context)
+
+
+@when("no update comes for {seconds:g} s")
+def stay_silent(context, seconds):
+    context.is_ordered = orders_read(context, seconds)
+
+
+@then("it orders a read of the registry")
+def check_ordered(context):
+    assert context.is_ordered
+
+
+@given("a daemon that ranks first of a zone and has just started")
+def start_first(context):
+    context.daemon = StoreDaemon(name="front-1")
+    context.daemon.configure()
+    context.daemon.tick()
+    receive_update(context)
+
+
+def receive_update(context):
+    daemon = context.daemon
+    daemon.run_control(RegistryReadEnded(now=daemon.now))
+    daemon.run_control(RegistryUpdateReceived(now=daemon.now, recovered_at=float("-inf")))
+
+
+def orders_read(context, after):
+    context.daemon.now += after
+    return find(context.daemon.tick(), ReadRegistry) is not None
+
+
+@then("it does not order a read of the registry within {seconds:g} s of an update")
+def check_waits(context, seconds):
+    assert not orders_read(context, seconds)
+
+
+@then("it does so within 0.62 s after {seconds:g} s")
+def check_reads(context, seconds):
+    context.daemon.now += seconds
+    receive_update(context)
+    assert orders_read(context, 0.62)
--- /dev/null
+++ b/features/subjects/large_zone.py
@@ -0,0 +1,167 @@
+"""Subjects: a zone of many daemons on a fake clock, and followers of the registry."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+from dotterelgate_border.datagrams import RegistryUpdate
+from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS, plan_heartbeats
+from dotterelgate_core.owners import list_owners
+from dotterelgate_core.registry import Registration
+from dotterelgate_core.sharing import HeartbeatReceived
+from dotterelgate_core.store_reading import RegistryUpdateReceived
+from dotterelgate_daemon.registry_following import RegistryFollower
+from dotterelgate_daemon.store import StoreRecord
+from subjects.store_daemon import ZONE, StoreDaemon
+
+SERVICES = ("a", "b", "c")
+ROUND_SECONDS = HEARTBEAT_SECONDS
+ENTRY_BYTES = 330
+
+
+class LargeZone:
+    """Daemons of one zone that exchange heartbeats; they start one after the other."""
+
+    def __init__(self, *, daemons: int, loss: float, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._loss = loss
+        self.daemons = {
+            name: StoreDaemon(name=name, policy="granted_queue")
+            for name in (f"front-{number}" for number in range(daemons))
+        }
+        self.alive = set(self.daemons)
+        self.sent = 0
+        self.pairs = 0
+        self.round = 0
+        self.views: dict[str, tuple] = {}
+        self.view_changes = 0
+        for daemon in self.daemons.values():
+            daemon.configure(services=SERVICES)
+            for number, service in enumerate(SERVICES):
+                daemon.register(f"i-{number}", offset=number, service=service)
+        for sender in self.daemons:
+            self._deliver(sender, [(name, 0.0) for name in self.daemons if name != sender])
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / ROUND_SECONDS)):
+            self.round += 1
+            for name in self.alive:
+                self.daemons[name].now += ROUND_SECONDS
+            for name in sorted(self.alive):
+                self._send_heartbeats(name)
+            self._watch_views()
+
+    def kill_owners(self) -> None:
+        """Kill the owners and successors of all services."""
+        self.alive -= set(self.read_view(min(self.alive)))
+
+    def read_view(self, name: str) -> tuple[str, ...]:
+        """Read whom a daemon names as owners and successors."""
+        daemon = self.daemons[name]
+        listed = (list_owners(daemon.state, each, daemon.now, ZONE) for each in SERVICES)
+        return tuple(owner for owners in listed for owner in owners)
+
+    def _send_heartbeats(self, name: str) -> None:
+        daemon = self.daemons[name]
+        offset = int(name.rpartition("-")[2])
+        planned = plan_heartbeats(daemon.state, daemon.now, self.round + offset)
+        self.sent += len(planned)
+        self.pairs += len(self.daemons) - 1
+        self._deliver(name, [(each.peer.name, each.interval) for each in planned])
+
+    def _deliver(self, sender: str, receivers: list[tuple[str, float]]) -> None:
+        for name, interval in receivers:
+            if name not in self.alive or self._random.random() < self._loss:
+                continue
+            receiver = self.daemons[name]
+            receiver.run_control(
+                HeartbeatReceived(
+                    now=receiver.now,
+                    peer=sender,
+                    incarnation="x",
+                    address="10.0.0.1:1",
+                    zone=ZONE,
+                    is_leaving=False,
+                    in_flight={},
+                    interval=interval,
+                )
+            )
+
+    def _watch_views(self) -> None:
+        for name in self.alive:
+            view = self.read_view(name)
+            self.view_changes += self.views.get(name, view) != view
+            self.views[name] = view
+
+
+class FakeMesh:
+    """Collects messages to one peer."""
+
+    address = "10.0.0.9:1"
+
+    def __init__(self) -> None:
+        self.sent: list = []
+
+    def send_message(self, _address: str, message: object) -> None:
+        """Collect a message."""
+        self.sent.append(message)
+
+    def list_zone_peers(self) -> list[str]:
+        """List the only peer."""
+        return ["10.0.0.8:1"]
+
+
+class Follower:
+    """A daemon's follower of the registry, whose store is the test."""
+
+    def __init__(self, name: str) -> None:
+        self.mesh = FakeMesh()
+        self.emitted: list = []
+        self.daemon = StoreDaemon(name=name)
+        access = SimpleNamespace(
+            state=self.daemon.state,
+            calls=SimpleNamespace(decode_registration=decode_registration),
+            client=None,
+            mesh=self.mesh,
+            emit=self._emit,
+        )
+        self.follower = RegistryFollower(access=access, registry=self.daemon.registry)
+        self.reader = self.follower._reader
+
+    def list_all(self, names: list[str], *, end: int) -> None:
+        """Let the store list entries."""
+        self.reader._on_records([build_record(each, at) for at, each in enumerate(names)])
+        self.reader.position = end
+        self.reader._on_listed(frozenset(names), end)
+        self.reader._on_done()
+
+    def read(self, records: list[StoreRecord], *, end: int) -> None:
+        """Let the store return records."""
+        self.reader._on_records(records)
+        self.reader.position = end
+        self.reader._on_done()
+
+    def receive(self, update: RegistryUpdate) -> bool:
+        """Receive an update; returns whether it left no gap."""
+        self.emitted.clear()
+        self.follower.receive(update)
+        return any(isinstance(each, RegistryUpdateReceived) for each in self.emitted)
+
+    def _emit(self, message: object) -> None:
+        self.emitted.append(message)
+        self.daemon.run_control(message)
+
+
+def build_record(name: str, offset: int) -> StoreRecord:
+    """Build a backend server's entry as the store holds it."""
+    # As long as an entry of the platform.
+    value = f"10.0.1.{offset}:80".ljust(ENTRY_BYTES).encode("ascii")
+    return StoreRecord(key=name, offset=offset, value=value)
+
+
+def decode_registration(value: bytes) -> Registration:
+    """Decode an entry, which is its address."""
+    address = value.decode("ascii").strip()
+    return Registration(service="s", address=address, zone=ZONE, slots=3, is_draining=False)
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -43,6 +43,7 @@
     in_flight: dict[str, int]
     wants_reply: bool = False
     can_decide: bool = True
+    interval_ms: int = 0
 
 
 class LoadEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/dotterelgate-core/src/dotterelgate_core/peers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/peers.py
@@ -29,6 +29,8 @@
     :param listed_leaving: whether the platform lists its VM as leaving
     :param is_suspected: whether a call or ping to it went unanswered and no message came since
     :param seen_at: monotonic second of its last message
+    :param heartbeat_interval: seconds after which it sends the next heartbeat here
+    :param counted: backend servers where its last heartbeat counted requests
     :param pinged_at: monotonic second of the last ping, until a message of it arrives
     :param pending_calls: ids of calls sent to it whose answers are outstanding
     """
@@ -42,6 +44,8 @@
     listed_leaving: bool = False
     is_suspected: bool = False
     seen_at: float = 0.0
+    heartbeat_interval: float = 0.0
+    counted: tuple[str, ...] = ()
     pinged_at: float | None = None
     pending_calls: set[int] = field(default_factory=set)
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/registry.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/registry.py
@@ -202,7 +202,9 @@
     for name in list(state.servers.states):
         if name in listed.names or registry.offsets.get(name, -1) >= listed.end:
             continue
-        missing = RegistrationRead(now=listed.now, name=name, offset=listed.end, registration=None)
+        missing = RegistrationRead(
+            now=listed.now, name=name, offset=listed.end - 1, registration=None
+        )
         messages.extend(_apply_entry(state, registry, missing))
     return messages
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
@@ -28,6 +28,9 @@
 # After this long without requests a service's backend servers are probed less often.
 DEMAND_SECONDS = 2.0
 IDLE_MAX_AGE_SECONDS = 1.0
+# Interval at which a daemon looks up which backend servers it samples; owners change with
+# the heartbeats.
+SELECTION_INTERVAL_SECONDS = 0.2
 # Interval after a probe that was not answered.
 RETRY_INTERVAL_SECONDS = 0.5
 PROBE_COST_SECONDS = 0.006
@@ -42,12 +45,16 @@
     :param unanswered: names of those that did not answer the last probe
     :param samplers: daemon that samples each backend server, with the candidates that it
         was chosen from
+    :param selected: names of the backend servers that this daemon samples
+    :param selected_at: monotonic second at which ``selected`` was looked up
     """
 
     probed_at: dict[str, float] = field(default_factory=dict)
     pending: set[str] = field(default_factory=set)
     unanswered: set[str] = field(default_factory=set)
     samplers: dict[str, tuple[tuple[str, ...], str]] = field(default_factory=dict)
+    selected: list[str] = field(default_factory=list)
+    selected_at: float = float("-inf")
 
 
 def make_sampling_filter(state: DaemonState, sampling: SamplingState) -> Filter:
@@ -69,8 +76,13 @@
     if state.peers.leaving or state.configuration.current is None:
         return []
     orders: list[Message] = []
-    for name in _list_sampled(state, sampling, tick.now):
-        server = state.servers.states[name]
+    if tick.now - sampling.selected_at >= SELECTION_INTERVAL_SECONDS:
+        sampling.selected = _list_sampled(state, sampling, tick.now)
+        sampling.selected_at = tick.now
+    for name in sampling.selected:
+        server = state.servers.states.get(name)
+        if server is None:
+            continue
         service = state.configuration.find_service(server.service)
         if service is None or not _is_due(state, sampling, server, tick.now):
             continue
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -22,19 +22,25 @@
     "LoadsReceived",
     "ServerLoad",
     "find_remote_interval_factor",
+    "find_zone_interval_factor",
     "list_freed_slots",
     "make_sharing_filter",
     "select_alive",
     "select_zone_peers",
 ]
 
-# Within an availability zone, heartbeats come every 0.25 s; four in a row may be lost.
+# Within an availability zone, heartbeats come every 0.24 s, or more rarely as they state;
+# four in a row may be lost.
 SILENCE_SECONDS = 1.2
+SILENCE_INTERVALS = 5
 # Remote zones receive every eighth heartbeat while there are few peers; one may be lost.
 REMOTE_SILENCE_SECONDS = 4.5
 # Remote peers up to which heartbeats and loads go out at the full rate: traffic between
 # zones costs, and heartbeats between all pairs grow with the square of the daemons.
 REMOTE_PEERS = 16
+# In a zone of twice as many peers or more, most pairs of daemons exchange heartbeats more
+# rarely, or their number would grow with the square of the zone.
+ZONE_PEERS = 10
 # Interval at which counts that no peer repeats are removed.
 EXPIRY_INTERVAL_SECONDS = 0.2
 
@@ -77,6 +83,7 @@
 
     :param in_flight: its requests at each backend server where it has any
     :param can_decide: whether it has a configuration and backend servers
+    :param interval: seconds until its next heartbeat
     """
 
     now: float
@@ -87,6 +94,7 @@
     is_leaving: bool
     in_flight: dict[str, int]
     can_decide: bool = True
+    interval: float = 0.0
 
 
 def find_remote_interval_factor(state: DaemonState) -> int:
@@ -95,28 +103,42 @@
     return max(1, -(-remote // REMOTE_PEERS))
 
 
+def find_zone_interval_factor(state: DaemonState) -> int:
+    """Compute how many times longer heartbeat intervals are between most daemons of the zone."""
+    peers = sum(peer.zone == state.zone for peer in state.peers.listed.values())
+    return max(1, peers // ZONE_PEERS)
+
+
 def select_alive(state: DaemonState, now: float, zone: str) -> list[str]:
     """List the daemons of a zone with a recent heartbeat, this one included."""
-    silence = SILENCE_SECONDS
     if zone != state.zone:
         silence = REMOTE_SILENCE_SECONDS * find_remote_interval_factor(state)
-    alive = [
-        peer.name
-        for peer in state.peers.listed.values()
-        if peer.zone == zone and not peer.leaving and now - peer.seen_at <= silence
-    ]
-    if zone == state.zone and not state.peers.leaving:
+        return [
+            peer.name
+            for peer in state.peers.listed.values()
+            if peer.zone == zone and not peer.leaving and now - peer.seen_at <= silence
+        ]
+    alive = [peer.name for peer in _list_heard_peers(state, now) if not peer.leaving]
+    if not state.peers.leaving:
         alive.append(state.name)
     return alive
 
 
 def select_zone_peers(state: DaemonState, now: float) -> list[str]:
     """List the peers of the own zone that accept requests, those that are stopping included."""
-    return [
-        peer.name
-        for peer in state.peers.listed.values()
-        if peer.zone == state.zone and now - peer.seen_at <= SILENCE_SECONDS
-    ]
+    return [peer.name for peer in _list_heard_peers(state, now)]
+
+
+def _list_heard_peers(state: DaemonState, now: float) -> list[Peer]:
+    # The first heartbeat of a daemon does not state when the next one follows.
+    unstated = SILENCE_SECONDS * find_zone_interval_factor(state)
+    heard = []
+    for peer in state.peers.listed.values():
+        stated = SILENCE_INTERVALS * peer.heartbeat_interval
+        silence = max(SILENCE_SECONDS, stated) if stated else unstated
+        if peer.zone == state.zone and now - peer.seen_at <= silence:
+            heard.append(peer)
+    return heard
 
 
 def make_sharing_filter(state: DaemonState) -> Filter:
@@ -189,19 +211,22 @@
     peer.address = received.address
     peer.leaving = received.is_leaving
     peer.can_decide = received.can_decide
+    peer.heartbeat_interval = received.interval
     if received.zone == state.zone:
-        _apply_counts(state, received)
+        _apply_counts(state, peer, received)
     return messages
 
 
-def _apply_counts(state: DaemonState, received: HeartbeatReceived) -> None:
-    for name, server in state.servers.states.items():
-        count = received.in_flight.get(name, 0)
-        if not count and received.peer not in server.view.peers:
+def _apply_counts(state: DaemonState, peer: Peer, received: HeartbeatReceived) -> None:
+    for name in {*peer.counted, *received.in_flight}:
+        server = state.servers.states.get(name)
+        if server is None:
             continue
+        count = received.in_flight.get(name, 0)
         server.view.set_peer_count(received.peer, count, received.now)
         if count:
             state.times.routed_at[server.service] = received.now
+    peer.counted = tuple(received.in_flight)
 
 
 def _forget_peer(state: DaemonState, name: str) -> None:
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -19,6 +19,7 @@
     from dotterelgate_core.state import DaemonState
 
 __all__ = [
+    "REPEAT_SECONDS",
     "ConfigurationReadEnded",
     "ConfigurationReadFailed",
     "ReadConfiguration",
@@ -38,6 +39,9 @@
 # further one waits longer.
 UPDATE_TIMEOUT_SECONDS = 0.8
 RANK_DELAY_SECONDS = 0.2
+# In a large zone many daemons that rank first may be lost at once. While the store answers, all
+# others read within the platform's bound on draining, 2 s.
+MAX_RANK_DELAY_SECONDS = 1.0
 # Backoff after failed reads, since refused calls cost as well.
 FIRST_BACKOFF_SECONDS = 0.4
 MAX_BACKOFF_SECONDS = 1.0
@@ -49,6 +53,9 @@
 # A starting daemon has its peers after the first exchange of heartbeats; until then
 # it cannot rank itself among the readers.
 PEER_DISCOVERY_SECONDS = 0.5
+# Updates repeat the changes of this period, so the next one replaces a lost datagram. A
+# daemon that has not followed the registry for as long cannot repeat what its peers may lack.
+REPEAT_SECONDS = 3.0
 # Interval at which the rank among the readers is recomputed.
 RANKING_INTERVAL_SECONDS = 0.2
 # Daemons of an availability zone that long-poll the store for a new configuration; the
@@ -156,8 +163,9 @@
 
     def order_reads(message: Message) -> Iterable[Message]:
         if isinstance(message, ControlTicked):
+            reading.started_at = min(reading.started_at, message.now)
             return [
-                *_order_registry_read(state, reading, message.now),
+                *_order_registry_read(state, registry, reading, message.now),
                 *_order_configuration_read(state, reading, message.now),
                 message,
             ]
@@ -178,15 +186,19 @@
     return order_reads
 
 
-def _order_registry_read(state: DaemonState, reading: ReadingState, now: float) -> list[Message]:
-    if not _is_registry_read_due(state, reading, now):
+def _order_registry_read(
+    state: DaemonState, registry: RegistryState, reading: ReadingState, now: float
+) -> list[Message]:
+    if not _is_registry_read_due(state, registry, reading, now):
         return []
     reading.read_started_at = now
     reading.is_reading = True
     return [ReadRegistry()]
 
 
-def _is_registry_read_due(state: DaemonState, reading: ReadingState, now: float) -> bool:
+def _is_registry_read_due(
+    state: DaemonState, registry: RegistryState, reading: ReadingState, now: float
+) -> bool:
     since = now - reading.read_started_at
     if now - reading.current_at < READ_INTERVAL_SECONDS:
         return False
@@ -194,9 +206,14 @@
         return False
     if since < _compute_backoff(reading.failures):
         return False
-    rank = _find_rank(state, reading, now)
+    rank: float = _find_rank(state, reading, now)
+    if now - reading.started_at < REPEAT_SECONDS:
+        # Daemons with a history go first; at a first start nobody has one.
+        rank += 1
     if rank == 0:
         return since >= READ_INTERVAL_SECONDS
+    if not registry.is_unavailable:
+        rank = min(rank, MAX_RANK_DELAY_SECONDS / RANK_DELAY_SECONDS)
     return _is_update_overdue(reading.current_at, rank, now)
 
 
@@ -212,14 +229,13 @@
     return reading.rank
 
 
-def _is_update_overdue(last_at: float, rank: int, now: float) -> bool:
+def _is_update_overdue(last_at: float, rank: float, now: float) -> bool:
     return now - last_at >= UPDATE_TIMEOUT_SECONDS + RANK_DELAY_SECONDS * rank
 
 
 def _order_configuration_read(
     state: DaemonState, reading: ReadingState, now: float
 ) -> list[Message]:
-    reading.started_at = min(reading.started_at, now)
     configuration = reading.configuration
     if configuration.is_reading:
         return []
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -16,6 +16,7 @@
     decode_datagram,
     encode_datagram,
 )
+from dotterelgate_core.heartbeats import plan_heartbeats
 from dotterelgate_core.loads import LoadReport
 from dotterelgate_core.owners import find_owner, list_owners, select_listeners
 from dotterelgate_core.sharing import (
@@ -49,8 +50,6 @@
 FLUSH_SECONDS = 0.001
 # Reports that only a probe brought may wait, so that several share a datagram.
 REPORT_FLUSH_SECONDS = 0.008
-# In heartbeats: other zones get every eighth one, because traffic between zones is costly.
-REMOTE_INTERVAL = 8
 # Older reports are not relayed to other zones; the next probe brings a newer one.
 MAX_RELAYED_AGE_SECONDS = 0.1
 # With many peers in other zones, loads are relayed to them half as often; a zone of that
@@ -112,26 +111,24 @@
             self._timers.call_after(delay=due - now, call=self._flush)
 
     def send_heartbeats(self) -> None:
-        """Send a heartbeat to the own zone, and less often to the others.
+        """Send a heartbeat to the peers whose turn it is.
 
-        A daemon that stops notifies all zones at once, as one that starts does with its
-        first heartbeats.
+        A daemon that stops notifies all at once, as one that starts does with its first
+        heartbeats.
         """
-        includes_remote = (
-            self._heartbeats % (REMOTE_INTERVAL * find_remote_interval_factor(self._state)) == 0
-        )
-        if self._state.peers.leaving and not self._has_announced_stop:
-            includes_remote = self._has_announced_stop = True
+        state = self._state
+        announces_stop = state.peers.leaving and not self._has_announced_stop
+        self._has_announced_stop = self._has_announced_stop or announces_stop
+        planned = plan_heartbeats(state, time.monotonic(), self._heartbeats, to_all=announces_stop)
         self._heartbeats += 1
-        zone_data = encode_datagram(self._build_heartbeat(counts=True))
-        remote_data = (
-            encode_datagram(self._build_heartbeat(counts=False)) if includes_remote else b""
-        )
-        for peer in self._state.peers.listed.values():
-            if peer.zone == self._state.zone:
-                self.send(peer.address, zone_data)
-            elif includes_remote:
-                self.send(peer.address, remote_data)
+        encoded: dict[tuple[bool, float], bytes] = {}
+        for each in planned:
+            key = (each.peer.zone == state.zone, each.interval)
+            if key not in encoded:
+                counts, interval = key
+                message = self._build_heartbeat(counts=counts, interval=interval)
+                encoded[key] = encode_datagram(message)
+            self.send(each.peer.address, encoded[key])
 
     def relay(self) -> None:
         """Send the loads of the own zone to the owners of each other zone."""
@@ -195,7 +192,9 @@
         bind_to(sock, address)
         return sock
 
-    def _build_heartbeat(self, *, counts: bool, wants_reply: bool = False) -> Heartbeat:
+    def _build_heartbeat(
+        self, *, counts: bool, wants_reply: bool = False, interval: float = 0.0
+    ) -> Heartbeat:
         state = self._state
         current = state.configuration.current
         servers = state.servers.states.items() if counts else ()
@@ -209,6 +208,7 @@
             in_flight={name: each.in_flight for name, each in servers if each.in_flight},
             wants_reply=wants_reply,
             can_decide=state.can_decide,
+            interval_ms=round(interval * MILLISECONDS),
         )
 
     def _flush(self) -> None:
@@ -267,6 +267,7 @@
             is_leaving=message.is_leaving,
             in_flight=message.in_flight,
             can_decide=message.can_decide,
+            interval=message.interval_ms / MILLISECONDS,
         )
         self._emit(received)
         if message.wants_reply:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -16,6 +16,7 @@
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.registry import RegistrationRead, RegistryListed
 from dotterelgate_core.store_reading import (
+    REPEAT_SECONDS,
     RegistryReadEnded,
     RegistryReadFailed,
     RegistryUpdateReceived,
@@ -32,13 +33,12 @@
 
 logger = structlog.get_logger("store")
 
-# Updates repeat the changes of this period, so the next one replaces a lost datagram.
-REPEAT_SECONDS = 3.0
-# A larger update would not fit in a datagram; peers then read the store themselves.
+# Entries of more bytes are sent in several datagrams.
 MAX_UPDATE_BYTES = 48_000
 # Encoding overhead of an entry besides its name and value.
 ENTRY_OVERHEAD_BYTES = 16
 MILLISECONDS = 1000
+STORE = "the store"
 # Shortest interval between requests to peers while no backend server is known.
 REQUEST_INTERVAL_SECONDS = 0.3
 
@@ -56,14 +56,15 @@
         self._entries: dict[str, RegistryEntry] = {}
         self._has_failed = False
         self._requested_at = float("-inf")
-        self._changes: list[tuple[float, RegistryEntry]] = []
+        self._has_listed = False
+        self._changes: dict[str, tuple[float, RegistryEntry]] = {}
         self._positions: list[tuple[float, int]] = []
         self._dependency = Dependency(name="the registry's topic")
         self._reader = KeyedReader(
             topic=Topic.REGISTRY,
             calls=access.calls,
             client=access.client,
-            on_records=lambda records: self._apply_records(records, "the store"),
+            on_records=lambda records: self._apply_records(records, STORE),
             on_listed=self._note_listing,
             on_done=self._end_read,
             on_failure=self._fail,
@@ -97,11 +98,13 @@
     def _send_all(self, address: str) -> None:
         """Send all entries, in as many datagrams as they need."""
         position = self._reader.position
-        if position is None:
-            return
+        if position is not None:
+            self._send_in_parts(address, position, list(self._entries.values()))
+
+    def _send_in_parts(self, address: str, position: int, entries: list[RegistryEntry]) -> None:
         batch: list[RegistryEntry] = []
         size = 0
-        for entry in self._entries.values():
+        for entry in entries:
             batch.append(entry)
             size += _estimate_size(entry)
             if size > MAX_UPDATE_BYTES:
@@ -117,7 +120,13 @@
         self._mesh.send_message(address, update)
 
     def _note_listing(self, keys: frozenset[str], end: int) -> None:
-        self._emit(RegistryListed(now=time.monotonic(), names=keys, end=end))
+        now = time.monotonic()
+        self._emit(RegistryListed(now=now, names=keys, end=end))
+        for name in self._entries.keys() - keys:
+            if self._entries[name].offset < end:
+                del self._entries[name], self._decoded[name]
+                self._note_change(now, RegistryEntry(name=name, offset=end - 1, value=None))
+        self._has_listed = True
 
     def _end_read(self) -> None:
         self._dependency.note_answer()
@@ -136,8 +145,10 @@
             registration, reason = self._decode(record)
             entry = RegistryEntry(name=record.key, offset=record.offset, value=record.value)
             self._keep_newest(entry)
-            if self._is_change(record.key, registration):
-                self._changes.append((now, entry))
+            is_change = self._is_change(record.key, registration)
+            # What the first listing holds is no news to peers.
+            if is_change and (self._has_listed or source != STORE):
+                self._note_change(now, entry)
             read = RegistrationRead(
                 now=now,
                 name=record.key,
@@ -183,16 +194,36 @@
             or previous.service != registration.service
         )
 
+    def _note_change(self, now: float, entry: RegistryEntry) -> None:
+        known = self._changes.get(entry.name)
+        if known is None or known[1].offset < entry.offset:
+            self._changes[entry.name] = (now, entry)
+
+    def _note_position(self, now: float, position: int) -> int:
+        """Note up to where this daemon follows the registry without a gap.
+
+        :returns: the position from which on it has all changes, which it can repeat to peers
+        """
+        self._positions = [each for each in self._positions if now - each[0] < REPEAT_SECONDS]
+        self._positions.append((now, position))
+        start = self._positions[0][1]
+        self._changes = {
+            name: (at, entry)
+            for name, (at, entry) in self._changes.items()
+            if now - at < REPEAT_SECONDS or entry.offset >= start
+        }
+        return start
+
     def _announce_changes(self, now: float) -> None:
         position = self._reader.position
         if position is None:
             return
-        self._changes = [each for each in self._changes if now - each[0] < REPEAT_SECONDS]
-        self._positions = [each for each in self._positions if now - each[0] < REPEAT_SECONDS]
-        start = self._positions[0][1] if self._positions else position
-        self._positions.append((now, position))
-        entries = [entry for _, entry in self._changes]
+        start = self._note_position(now, position)
+        entries = [entry for _, entry in self._changes.values()]
         if sum(_estimate_size(each) for each in entries) > MAX_UPDATE_BYTES:
+            # A peer that got only some of the parts would not know it; it reads the store.
+            for address in self._mesh.list_zone_peers():
+                self._send_in_parts(address, position, entries)
             start, entries = position, []
         since_return = now - self._registry.recovered_at
         update = RegistryUpdate(
@@ -219,6 +250,7 @@
         if position is not None and position >= update.start:
             self._emit(RegistryUpdateReceived(now=now, recovered_at=recovered_at))
             self._reader.position = max(position, update.end)
+            self._note_position(now, self._reader.position)
         self._apply_records(records, update.sender)
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -11,6 +11,7 @@
 
 from dotterelgate_core.control_messages import ConfigurationChanged, ControlTicked, Probe
 from dotterelgate_core.engine import make_request_pipeline
+from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.messages import Decision, SlotFreed
@@ -51,7 +52,6 @@
 logger = structlog.get_logger("assembly")
 
 CONTROL_TICK_SECONDS = 0.02
-HEARTBEAT_SECONDS = 0.24
 # Callers that connect at the start wait at most this long for the first read of the store,
 # which takes some tens of milliseconds while the store answers.
 FIRST_READ_SECONDS = 0.3
