Keep followers of the registry without a gap after an outage of the store

Cause: a daemon forgot up to where it followed the registry after 3 s without a read. Its first update after an outage of the store then claimed no history, and every daemon of the zone read the store for itself at the moment of its return. Found by the test of a reader's history, which failed as soon as its followers had not read for 3 s.

Change: the last position is kept however old, with the changes since.

The step on the 62 daemons no longer stops its clock after the first order (it looped for ever).

--- a/features/large_zone.feature
+++ b/features/large_zone.feature
@@ -27,10 +27,16 @@
     When the first of them reads a removal at position 11 itself
     Then its update brings the other to position 12 without a gap, and without the server
 
-  # All 167 entries went to each peer for 3 s: more than a datagram holds, so that none were
-  # sent, and peers kept leaving servers beyond the bound.
+  # After an outage, the first update claimed no history, so that all peers read the store at once.
+  Scenario: The first update after an outage of the store leaves no gap
+    Given two daemons that list the registry up to position 9
+    When no update comes for 10 s, because the store is down
+    And the first of them reads a server at position 9 itself
+    Then its update brings the other to position 10 without a gap
+
+  # All entries went to each peer for 3 s, and none where they exceed a datagram.
   Scenario: A daemon that has just listed the registry announces no entries as news
-    Given a daemon that lists 167 entries
+    Given a daemon that lists 100 entries
     Then its update holds no entries and claims no history
 
   Scenario: Removals that a new listing shows are repeated to peers
@@ -41,7 +47,7 @@
   # The 40th in rank waited 8.8 s, beyond every bound on draining.
   Scenario: A daemon of any rank reads in time when all readers are lost
     Given a daemon that ranks last of 62 in its zone
-    When no update comes for 1.9 s
+    When no update comes for 1.9 s, though all others are alive
     Then it orders a read of the registry
 
   Scenario: A daemon without history lets others read first
--- a/features/steps/large_zone_steps.py
+++ b/features/steps/large_zone_steps.py
@@ -16,6 +16,7 @@
 )
 from dotterelgate_daemon.store import StoreRecord
 
+TICK_SECONDS = 0.1
 NAMES = [f"i-{number}" for number in range(10)]
 
 
@@ -68,15 +69,45 @@
 
 @given("two daemons that follow a reader of the registry up to position 10")
 def follow(context):
-    reader, *context.followers = (Follower(name) for name in ("front-1", "front-2", "front-3"))
-    for each in (reader, *context.followers):
-        each.list_all(NAMES, end=9)
-        each.mesh.sent.clear()
+    reader, *context.followers = list_registry("front-1", "front-2", "front-3")
+    pass_time(context, REPEAT_SECONDS)
     reader.read([build_record("i-new", 9)], end=10)
     for each in context.followers:
         assert each.receive(reader.mesh.sent[-1])
 
 
+@given("two daemons that list the registry up to position 9")
+def list_both(context):
+    context.followers = list_registry("front-1", "front-2")
+
+
+def list_registry(*names):
+    followers = [Follower(name) for name in names]
+    for each in followers:
+        each.list_all(NAMES, end=9)
+        each.mesh.sent.clear()
+    return followers
+
+
+@when("no update comes for {seconds:g} s, because the store is down")
+def pass_time(context, seconds):
+    for each in context.followers:
+        each.pass_time(seconds)
+
+
+@when("the first of them reads a server at position 9 itself")
+def read_server(context):
+    context.followers[0].read([build_record("i-new", 9)], end=10)
+
+
+@then("its update brings the other to position 10 without a gap")
+def check_no_gap(context):
+    first, other = context.followers
+    assert other.receive(first.mesh.sent[-1]), first.mesh.sent[-1]
+    assert other.reader.position == 10, other.reader.position
+    assert set(other.daemon.state.servers.states) == {*NAMES, "i-new"}
+
+
 @when("the first of them reads a removal at position 11 itself")
 def read_removal(context):
     context.followers[0].read([StoreRecord(key="i-3", offset=11, value=None)], end=12)
@@ -118,14 +149,18 @@
     context.daemon.configure()
     context.daemon.tick()
     context.daemon.now += REPEAT_SECONDS
-    for name in others:
-        context.daemon.receive_heartbeat(name)
+    context.others = others
     receive_update(context)
 
 
-@when("no update comes for {seconds:g} s")
+@when("no update comes for {seconds:g} s, though all others are alive")
 def stay_silent(context, seconds):
-    context.is_ordered = orders_read(context, seconds)
+    until = context.daemon.now + seconds
+    context.is_ordered = False
+    while context.daemon.now < until:
+        for name in context.others:
+            context.daemon.receive_heartbeat(name)
+        context.is_ordered |= orders_read(context, TICK_SECONDS)
 
 
 @then("it orders a read of the registry")
--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -137,6 +137,11 @@
         self.reader._on_listed(frozenset(names), end)
         self.reader._on_done()
 
+    def pass_time(self, seconds: float) -> None:
+        """Let what the follower noted become older."""
+        positions = self.follower._positions
+        self.follower._positions = [(at - seconds, position) for at, position in positions]
+
     def read(self, records: list[StoreRecord], *, end: int) -> None:
         """Let the store return records."""
         self.reader._on_records(records)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -204,8 +204,9 @@
 
         :returns: the position from which on it has all changes, which it can repeat to peers
         """
-        self._positions = [each for each in self._positions if now - each[0] < REPEAT_SECONDS]
-        self._positions.append((now, position))
+        recent = [each for each in self._positions if now - each[0] < REPEAT_SECONDS]
+        # After an outage of the store, peers still are where the last read ended.
+        self._positions = [*(recent or self._positions[-1:]), (now, position)]
         start = self._positions[0][1]
         self._changes = {
             name: (at, entry)
