Let peers relay long updates of the registry

Change: copies of more than 50,000 bytes in all go to the square root of the peers, who relay them; which ones is drawn for each message.

Ruled out: peers that the reader did not know; it knew all 45.

--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -105,7 +105,7 @@
     def __init__(self) -> None:
         self.sent: list = []
 
-    def send(self, _address: str, data: bytes) -> None:
+    def send_to_all(self, _addresses: list[str], data: bytes) -> None:
         """Collect an encoded message."""
         self.sent.append(decode_datagram(data))
 
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -17,6 +17,7 @@
     "RegistryEntry",
     "RegistryRequest",
     "RegistryUpdate",
+    "RelayRequest",
     "SlotDenialDatagram",
     "SlotGrantDatagram",
     "SlotQueuedDatagram",
@@ -199,11 +200,24 @@
     body: bytes
 
 
+class RelayRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=13):
+    """Another message for the receiver, which relays it.
+
+    :param receivers: addresses to which it is relayed
+    :param body: the message, encoded
+    """
+
+    sender: str
+    receivers: list[str]
+    body: bytes
+
+
 Datagram = (
     Heartbeat
     | LoadUpdate
     | RegistryUpdate
     | RegistryRequest
+    | RelayRequest
     | ConfigurationRequest
     | ConfigurationPart
     | SlotRequestDatagram
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import time
 from typing import TYPE_CHECKING
@@ -13,12 +14,14 @@
     Heartbeat,
     LoadEntry,
     LoadUpdate,
+    RelayRequest,
     decode_datagram,
     encode_datagram,
 )
 from dotterelgate_core.heartbeats import plan_heartbeats
 from dotterelgate_core.loads import LoadReport
 from dotterelgate_core.owners import find_owner, list_owners, select_listeners
+from dotterelgate_core.relaying import plan_relays
 from dotterelgate_core.sharing import (
     HeartbeatReceived,
     LoadsReceived,
@@ -86,6 +89,7 @@
         self._metrics = metrics
         self._sent_bytes = metrics.control_bytes.labels(channel="mesh")
         self._emit = emit
+        self._random = random.Random()
         self._heartbeats = 0
         self._relay_count = 0
         self._has_announced_stop = False
@@ -179,6 +183,17 @@
         """Send one message."""
         self.send(address, encode_datagram(message))
 
+    def send_to_all(self, addresses: list[str], data: bytes) -> None:
+        """Send an encoded message to many peers; some relay a long one to others."""
+        for group in plan_relays(addresses, len(data), self._random):
+            if group.receivers:
+                request = RelayRequest(
+                    sender=self._state.name, receivers=list(group.receivers), body=data
+                )
+                self.send(group.relay, encode_datagram(request))
+            else:
+                self.send(group.relay, data)
+
     @staticmethod
     def _bind(address: str) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -236,7 +251,7 @@
                 return
             self._handle(data)
 
-    def _handle(self, data: bytes) -> None:
+    def _handle(self, data: bytes, *, is_relayed: bool = False) -> None:
         try:
             message = decode_datagram(data)
         except msgspec.MsgspecError as error:
@@ -244,13 +259,23 @@
             return
         if message.sender == self._state.name:
             return
-        if isinstance(message, LoadUpdate):
+        if isinstance(message, RelayRequest):
+            self._relay_message(message, is_relayed=is_relayed)
+        elif isinstance(message, LoadUpdate):
             self._emit(read_load_update(message, time.monotonic()))
         elif isinstance(message, Heartbeat):
             self._handle_heartbeat(message)
         else:
             self.on_message(message)
 
+    def _relay_message(self, request: RelayRequest, *, is_relayed: bool) -> None:
+        if is_relayed:
+            logger.warning("mesh: a message to relay holds another one", peer=request.sender)
+            return
+        for address in request.receivers:
+            self.send(address, request.body)
+        self._handle(request.body, is_relayed=True)
+
     def _handle_heartbeat(self, message: Heartbeat) -> None:
         received = HeartbeatReceived(
             now=time.monotonic(),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -232,8 +232,7 @@
             for address in addresses:
                 self._send_in_parts(address, position, entries)
             data = self._encode_update(now, position, position, [])
-        for address in addresses:
-            self._mesh.send(address, data)
+        self._mesh.send_to_all(addresses, data)
 
     def _encode_update(
         self, now: float, start: int, end: int, entries: list[RegistryEntry]
