Prefer connected backend servers by more while most slots are free

A server that no call was sent to for 1 s cost as little as a connected one, and among the twenty of a zone one such server is always there.

Change: new connections cost 1.6 instead of 1.25 while less than half of the slots are in use; the exception for unused servers, which lets those that join be used, begins after 5 s.

--- a/packages/dotterelgate-core/src/dotterelgate_core/expected_time.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/expected_time.py
@@ -35,11 +35,15 @@
 # Share of its time limit after which a call accepts an answer that is expected after
 # the target but before the deadline.
 LATE_ANSWER_WAIT_SHARE = 0.2
-# A new connection costs both sides a few milliseconds.
+# A new connection costs both sides a few milliseconds, and where many daemons have few calls
+# each, a server's limit of connections as well.
 UNCONNECTED_FACTOR = 1.25
+# While most slots are free, a connected backend server that is somewhat slower answers in time.
+CALM_UNCONNECTED_FACTOR = 1.6
+CALM_SHARE = 0.5
 # A backend server not chosen for this long gets no penalty for a new connection, so that
 # servers that join are used.
-UNUSED_SECONDS = 1.0
+UNUSED_SECONDS = 5.0
 # Costs are varied at random by up to this share, so that daemons with the same view do
 # not all choose the same backend server.
 JITTER_SHARE = 0.05
@@ -56,6 +60,7 @@
 
     def choose(states: Sequence[ServerState], call: CallState, now: float) -> ServerState | None:
         usual = compute_usual_slowdown(states)
+        unconnected = choose_unconnected_factor(states)
         best: ServerState | None = None
         least = best_factor = float("inf")
         for state in states:
@@ -63,7 +68,7 @@
             cost = factor * compute_penalty_factor(state, now, zone=zone)
             is_unused = now - state.chosen_at >= UNUSED_SECONDS
             if not is_unused and not _is_connected(state, call, now):
-                cost *= UNCONNECTED_FACTOR
+                cost *= unconnected
             cost *= 1.0 + JITTER_SHARE * random.random()
             if cost < least:
                 best, least, best_factor = state, cost, factor
@@ -72,6 +77,13 @@
     return choose
 
 
+def choose_unconnected_factor(states: Sequence[ServerState]) -> float:
+    """Choose the cost factor of a new connection by the share of slots in use."""
+    slots = sum(state.server.slots for state in states)
+    load = sum(state.count_load() for state in states)
+    return CALM_UNCONNECTED_FACTOR if load < CALM_SHARE * slots else UNCONNECTED_FACTOR
+
+
 def _is_connected(state: ServerState, call: CallState, now: float) -> bool:
     """Return whether the daemon that has the call likely has an idle connection there."""
     if call.requester is not None:
