Keep one record of what the reading of the registry knows

Found by reading the change as a newcomer: the follower of the registry kept when it last read, how old that is and when an update came, all of which the reading state has; the rank among the readers was computed in two places. Subjects of large zones use the heartbeat of the one-daemon subject.

--- a/features/steps/large_zone_steps.py
+++ b/features/steps/large_zone_steps.py
@@ -7,8 +7,8 @@
 from subjects.store_daemon import StoreDaemon, find
 
 from dotterelgate_core.peers import rank_by_rendezvous
+from dotterelgate_core.readers import READER_SUBJECT
 from dotterelgate_core.store_reading import (
-    READER_SUBJECT,
     REPEAT_SECONDS,
     ReadRegistry,
     RegistryReadEnded,
--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -11,7 +11,6 @@
 from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS, plan_heartbeats
 from dotterelgate_core.owners import list_owners
 from dotterelgate_core.registry import Registration
-from dotterelgate_core.sharing import HeartbeatReceived
 from dotterelgate_core.store_reading import RegistryUpdateReceived
 from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.store import StoreRecord
@@ -96,20 +95,8 @@
         for name, interval in receivers:
             if name not in self.alive or self._random.random() < self._loss:
                 continue
-            receiver = self.daemons[name]
-            receiver.run_control(
-                HeartbeatReceived(
-                    now=receiver.now,
-                    peer=sender,
-                    incarnation="x",
-                    address="10.0.0.1:1",
-                    zone=ZONE,
-                    is_leaving=False,
-                    in_flight={},
-                    interval=interval,
-                    can_decide=self.daemons[sender].state.can_decide,
-                )
-            )
+            can_decide = self.daemons[sender].state.can_decide
+            self.daemons[name].receive_heartbeat(sender, can_decide=can_decide, interval=interval)
 
     def _watch_views(self) -> None:
         for name in self.alive:
@@ -144,6 +131,7 @@
         self.daemon = StoreDaemon(name=name)
         self.daemon.now = time.monotonic()
         self.daemon.receive_heartbeat("front-9")
+        self.daemon.reading.read_started_at = self.daemon.now
         access = SimpleNamespace(
             state=self.daemon.state,
             calls=SimpleNamespace(decode_registration=decode_registration),
@@ -151,7 +139,9 @@
             mesh=self.mesh,
             emit=self._emit,
         )
-        self.follower = RegistryFollower(access=access, registry=self.daemon.registry)
+        self.follower = RegistryFollower(
+            access=access, registry=self.daemon.registry, reading=self.daemon.reading
+        )
         self.reader = self.follower._reader
 
     def list_all(self, names: list[str], *, end: int) -> None:
--- a/features/subjects/reading_zones.py
+++ b/features/subjects/reading_zones.py
@@ -4,7 +4,7 @@
 
 import random
 
-from dotterelgate_core.reader_updates import (
+from dotterelgate_core.readers import (
     find_leading_zone,
     select_read_receivers,
     select_relay_receivers,
@@ -47,7 +47,6 @@
         self.slow: dict[str, float] = {}
         # What each daemon knows is as old as the read that it came from.
         self._fresh_at = dict.fromkeys(self.daemons, self.now)
-        self._started_at = self.now
         self.reads: list[float] = []
         self.sent: list[tuple[float, str]] = []
         self.gaps: list[tuple[float, float]] = []
@@ -110,8 +109,7 @@
             read_at = daemon.now - self.slow.get(name, 0.0)
             self._fresh_at[name] = max(self._fresh_at[name], read_at)
             daemon.run_control(RegistryReadEnded(now=daemon.now))
-            updated_at = max(self._started_at, daemon.reading.update_received_at)
-            receivers = select_read_receivers(daemon.state, daemon.now, updated_at=updated_at)
+            receivers = select_read_receivers(daemon.state, daemon.reading, daemon.now)
             self._send(daemon, receivers)
 
     def _send(self, sender: StoreDaemon, receivers: list[str]) -> None:
@@ -133,7 +131,9 @@
                 )
             )
             if is_remote:
-                self._send(receiver, select_relay_receivers(receiver.state, receiver.now))
+                self._send(
+                    receiver, select_relay_receivers(receiver.state, receiver.reading, receiver.now)
+                )
 
     def _note_gaps(self) -> None:
         watched = self.alive - self.slow.keys()
--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -102,7 +102,9 @@
         """Apply the removal of an entry."""
         return self._apply_registration(name, offset, None)
 
-    def receive_heartbeat(self, name="front-2", zone=ZONE, in_flight=None, *, can_decide=True):
+    def receive_heartbeat(
+        self, name="front-2", zone=ZONE, in_flight=None, *, can_decide=True, interval=0.0
+    ):
         """Receive a heartbeat."""
         heartbeat = HeartbeatReceived(
             now=self.now,
@@ -113,6 +115,7 @@
             is_leaving=False,
             in_flight=in_flight or {},
             can_decide=can_decide,
+            interval=interval,
         )
         return self.run_control(heartbeat)
 
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -36,6 +36,7 @@
     :param in_flight: requests that it has at each backend server, where any
     :param wants_reply: whether the receiver should answer with a heartbeat of its own
     :param can_decide: whether it has a configuration and backend servers
+    :param interval_ms: milliseconds after which the receiver gets the next one, 0 for unknown
     """
 
     sender: str
--- a/packages/dotterelgate-core/src/dotterelgate_core/heartbeats.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/heartbeats.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.owners import list_owners
+from dotterelgate_core.readers import READER_SUBJECT
 from dotterelgate_core.sharing import find_remote_interval_factor, find_zone_interval_factor
-from dotterelgate_core.store_reading import READER_SUBJECT
 
 if TYPE_CHECKING:
     from dotterelgate_core.peers import Peer
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -7,9 +7,8 @@
 
 from dotterelgate_core.backoff import compute_backoff
 from dotterelgate_core.control_messages import ControlTicked
-from dotterelgate_core.peers import rank_by_rendezvous
+from dotterelgate_core.readers import LAST_WAITING_RANK, find_rank, is_update_overdue
 from dotterelgate_core.registry import StoreRecovered
-from dotterelgate_core.sharing import select_alive
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -19,8 +18,6 @@
     from dotterelgate_core.state import DaemonState
 
 __all__ = [
-    "LAST_WAITING_RANK",
-    "READER_SUBJECT",
     "REPEAT_SECONDS",
     "ConfigurationReadEnded",
     "ConfigurationReadFailed",
@@ -30,21 +27,12 @@
     "RegistryReadEnded",
     "RegistryReadFailed",
     "RegistryUpdateReceived",
-    "is_update_overdue",
     "make_reading_filter",
 ]
 
-READER_SUBJECT = "registry"
 # A change must be in effect 2 s after the store accepted it (the platform's bound on
 # draining); reading every 0.6 s leaves time for a lost datagram or a dead reader.
 READ_INTERVAL_SECONDS = 0.6
-# The next daemon in rank reads after this long without an update of the reader; each
-# further one waits longer.
-UPDATE_TIMEOUT_SECONDS = 0.8
-RANK_DELAY_SECONDS = 0.2
-# In a large zone many daemons that rank first may be lost at once. While the store answers, all
-# that rank behind this one read at its time, within the platform's bound on draining, 2 s.
-LAST_WAITING_RANK = 5
 # A daemon that has just listed the registry waits so long for a reader that has found it; the
 # platform's bounds begin to hold for it 3 s after its start.
 SETTLING_SECONDS = 2.4
@@ -62,8 +50,6 @@
 # Updates repeat the changes of this period, so the next one replaces a lost datagram. A
 # daemon that has not followed the registry for as long cannot repeat what its peers may lack.
 REPEAT_SECONDS = 3.0
-# Interval at which the rank among the readers is recomputed.
-RANKING_INTERVAL_SECONDS = 0.2
 # Daemons of an availability zone that long-poll the store for a new configuration; the
 # others receive its revision in heartbeats. Two, because one answer may be lost.
 CONFIGURATION_READERS = 2
@@ -115,7 +101,7 @@
 
     :param read_at: monotonic second at which the peer's read began
     :param recovered_at: monotonic second at which the store answered the peer again
-    :param is_remote_zone: whether the peer reads for the zones of others
+    :param is_remote_zone: whether the peer is a daemon of another zone
     """
 
     now: float
@@ -218,7 +204,7 @@
         return False
     if since < _compute_backoff(reading.failures):
         return False
-    rank = _find_rank(state, reading, now)
+    rank = find_rank(state, reading, now)
     if now - max(reading.started_at, reading.remote_update_at) < REPEAT_SECONDS:
         # Daemons with a history go first, at a first start nobody has one; a zone that another
         # one reads for reads by itself when that fails.
@@ -235,19 +221,6 @@
     return compute_backoff(failures, first=FIRST_BACKOFF_SECONDS, longest=MAX_BACKOFF_SECONDS)
 
 
-def _find_rank(state: DaemonState, reading: ReadingState, now: float) -> int:
-    if now - reading.ranked_at >= RANKING_INTERVAL_SECONDS:
-        ranking = rank_by_rendezvous(READER_SUBJECT, select_alive(state, now, state.zone))
-        reading.rank = ranking.index(state.name) if state.name in ranking else len(ranking)
-        reading.ranked_at = now
-    return reading.rank
-
-
-def is_update_overdue(last_at: float, rank: int, now: float) -> bool:
-    """Return whether the daemons that rank before this one would have sent an update by now."""
-    return now - last_at >= UPDATE_TIMEOUT_SECONDS + RANK_DELAY_SECONDS * rank
-
-
 def _order_configuration_read(
     state: DaemonState, reading: ReadingState, now: float
 ) -> list[Message]:
@@ -259,7 +232,7 @@
     if configuration.has_read:
         if now - reading.started_at < PEER_DISCOVERY_SECONDS:
             return []
-        rank = _find_rank(state, reading, now)
+        rank = find_rank(state, reading, now)
         is_reader = rank < CONFIGURATION_READERS
         # Nothing was overdue before the peers were known.
         known_at = reading.started_at + PEER_DISCOVERY_SECONDS
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -15,7 +15,7 @@
     encode_datagram,
 )
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.reader_updates import select_read_receivers, select_relay_receivers
+from dotterelgate_core.readers import select_read_receivers, select_relay_receivers
 from dotterelgate_core.registry import RegistrationRead, RegistryListed
 from dotterelgate_core.store_reading import (
     REPEAT_SECONDS,
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from dotterelgate_border.datagrams import Datagram
     from dotterelgate_core.registry import Registration, RegistryState
+    from dotterelgate_core.store_reading import ReadingState
     from dotterelgate_daemon.keyed_reading import StoreAccess
 
 __all__ = ["RegistryFollower"]
@@ -48,9 +49,12 @@
 class RegistryFollower:
     """Reads the entries of backend servers and exchanges them with peers."""
 
-    def __init__(self, *, access: StoreAccess, registry: RegistryState) -> None:
+    def __init__(
+        self, *, access: StoreAccess, registry: RegistryState, reading: ReadingState
+    ) -> None:
         self._state = access.state
         self._registry = registry
+        self._reading = reading
         self._calls = access.calls
         self._mesh = access.mesh
         self._emit = access.emit
@@ -59,8 +63,6 @@
         self._has_failed = False
         self._requested_at = float("-inf")
         self._has_listed = False
-        self._updated_at = self._read_began_at = time.monotonic()
-        self._current_at = float("-inf")
         self._changes: dict[str, tuple[float, RegistryEntry]] = {}
         self._positions: list[tuple[float, int]] = []
         self._dependency = Dependency(name="the registry's topic")
@@ -76,7 +78,6 @@
 
     def read(self) -> None:
         """Read the new records."""
-        self._read_began_at = time.monotonic()
         self._reader.read()
 
     def receive(self, message: Datagram) -> None:
@@ -136,10 +137,8 @@
     def _end_read(self) -> None:
         self._dependency.note_answer()
         now = time.monotonic()
-        self._current_at = max(self._current_at, self._read_began_at)
         self._emit(RegistryReadEnded(now=now))
-        receivers = select_read_receivers(self._state, now, updated_at=self._updated_at)
-        self._announce_changes(now, receivers)
+        self._announce_changes(now, select_read_receivers(self._state, self._reading, now))
 
     def _fail(self, reason: str) -> None:
         self._has_failed = True
@@ -247,7 +246,7 @@
             end=end,
             returned_ms=int(since_return * MILLISECONDS) if since_return < REPEAT_SECONDS else -1,
             entries=entries,
-            age_ms=int((now - self._current_at) * MILLISECONDS),
+            age_ms=int((now - self._reading.current_at) * MILLISECONDS),
         )
         return encode_datagram(update)
 
@@ -266,21 +265,18 @@
         position = self._reader.position
         has_no_gap = position is not None and position >= update.start
         if position is not None and has_no_gap:
-            read_at = now - update.age_ms / MILLISECONDS
-            self._current_at = max(self._current_at, read_at)
             received = RegistryUpdateReceived(
                 now=now,
-                read_at=read_at,
+                read_at=now - update.age_ms / MILLISECONDS,
                 recovered_at=recovered_at,
                 is_remote_zone=is_remote,
             )
             self._emit(received)
-            self._updated_at = now
             self._reader.position = max(position, update.end)
             self._note_position(now, self._reader.position)
         self._apply_records(records, update.sender)
         if is_remote and has_no_gap:
-            self._announce_changes(now, select_relay_receivers(self._state, now))
+            self._announce_changes(now, select_relay_receivers(self._state, self._reading, now))
 
 
 def _estimate_size(entry: RegistryEntry) -> int:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -219,6 +219,7 @@
 ) -> StoreControl:
     state = base.state
     registry = RegistryState()
+    reading = ReadingState()
     sampling = SamplingState()
     prober = Prober(
         dialect=dialect,
@@ -228,7 +229,7 @@
         emit=lambda message: control.run(message),
     )
     control = StoreControl(
-        decide=make_store_pipeline(state, registry, ReadingState(), sampling),
+        decide=make_store_pipeline(state, registry, reading, sampling),
         base=base,
         prober=prober,
         sampling=sampling,
@@ -254,7 +255,7 @@
     )
     access = StoreAccess(state=state, calls=calls, client=client, mesh=mesh, emit=control.run)
     control.configuration = ConfigurationFollower(access=access)
-    control.registry = RegistryFollower(access=access, registry=registry)
+    control.registry = RegistryFollower(access=access, registry=registry, reading=reading)
     control.directory = DaemonDirectory(
         own=(settings.name, settings.peers), access=access, timers=base.timers
     )
