Order what the store holds by its era, since a restore gives offsets out again

Cause: an entry won by its offset, and readers went on from an offset, as if offsets were never given out twice. The class of fault: a number of another process used as a clock without asking which life of that process it counts.

Fix: positions are an era and an offset, eras.py merges entries. Within an era the later offset wins; across eras the server's own start and count of writes, so that a copy's older entry revives no server that left, and a newer one counts at whatever offset. Answers name the era, refusals too; a read that begins in another era lists all keys, one of an earlier era fails. Updates between daemons name the eras of start and end. Servers that the copy lacks get the time that they have after an outage, also when no read failed.

--- a/features/steps/large_zone_steps.py
+++ b/features/steps/large_zone_steps.py
@@ -128,7 +128,7 @@
 def check_no_gap(context):
     first, other = context.followers
     assert other.receive(first.mesh.sent[-1]), first.mesh.sent[-1]
-    assert other.reader.position == 10, other.reader.position
+    assert other.reader.position.offset == 10, other.reader.position
     assert set(other.daemon.state.servers.states) == {*NAMES, "i-new"}
 
 
@@ -148,7 +148,7 @@
 def check_update(context):
     first, other = context.followers
     assert other.receive(first.mesh.sent[-1]), first.mesh.sent[-1]
-    assert other.reader.position == 12, other.reader.position
+    assert other.reader.position.offset == 12, other.reader.position
     assert "i-3" not in other.daemon.state.servers.states
     assert set(other.daemon.state.servers.states) == {*NAMES, "i-new"} - {"i-3"}
 
--- a/features/subjects/broken_answers.py
+++ b/features/subjects/broken_answers.py
@@ -227,7 +227,7 @@
             method="GET",
             path="/",
             body=b"",
-            on_answer=lambda status, body: None,
+            on_answer=lambda answer: None,
             on_failure=self.failures.append,
         )
         (self.stream,) = self.streams.establish()
--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -9,6 +9,7 @@
 from dotterelgate_border.datagrams import Datagram, decode_datagram
 from dotterelgate_core.configuration import Configuration, Service
 from dotterelgate_core.control_messages import Probe
+from dotterelgate_core.eras import Position
 from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS, plan_heartbeats
 from dotterelgate_core.owners import list_owners
 from dotterelgate_core.registry import Registration
@@ -146,6 +147,7 @@
             client=None,
             mesh=self.mesh,
             emit=self._emit,
+            era=self.daemon.registry.era,
         )
         self.configuration = ConfigurationFollower(access=access)
         self.follower = RegistryFollower(
@@ -165,11 +167,12 @@
         for reader in (self.reader, self.configuration._reader):
             reader.read = self.outcomes.append
 
-    def list_all(self, names: list[str], *, end: int) -> None:
+    def list_all(self, names: list[str], *, end: int, era: int = 0) -> None:
         """Let the store list entries."""
-        self.reader._on_records([build_record(each, at) for at, each in enumerate(names)])
-        self.reader.position = end
-        self.reader._on_listed(frozenset(names), end)
+        records = [build_record(each, at, era) for at, each in enumerate(names)]
+        self.reader._on_records(records)
+        self.reader.position = Position(era=era, offset=end)
+        self.reader._on_listed(frozenset(names), self.reader.position)
         self._end_read()
 
     def pass_time(self, seconds: float) -> None:
@@ -177,10 +180,10 @@
         positions = self.follower._positions
         self.follower._positions = [(at - seconds, position) for at, position in positions]
 
-    def read(self, records: list[StoreRecord], *, end: int) -> None:
+    def read(self, records: list[StoreRecord], *, end: int, era: int = 0) -> None:
         """Let the store return records."""
         self.reader._on_records(records)
-        self.reader.position = end
+        self.reader.position = Position(era=era, offset=end)
         self._end_read()
 
     def read_configuration(self, revision: int) -> None:
@@ -207,11 +210,11 @@
         self.daemon.run_control(message)
 
 
-def build_record(name: str, offset: int) -> StoreRecord:
+def build_record(name: str, offset: int, era: int = 0) -> StoreRecord:
     """Build a backend server's entry as the store holds it."""
     # As long as an entry of the platform.
     value = f"10.0.1.{offset}:80".ljust(ENTRY_BYTES).encode("ascii")
-    return StoreRecord(key=name, offset=offset, value=value)
+    return StoreRecord(key=name, offset=offset, value=value, era=era)
 
 
 def decode_configuration(value: bytes) -> Configuration:
--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -86,21 +86,35 @@
             ConfigurationStored(now=self.now, configuration=configuration, source="the store")
         )
 
-    def register(self, name, *, offset, service="s", draining=False, born=1, slots=3, zone=ZONE):
+    def register(
+        self,
+        name,
+        *,
+        offset,
+        service="s",
+        draining=False,
+        born=1,
+        slots=3,
+        zone=ZONE,
+        era=0,
+        write=0,
+        address="",
+    ):
         """Apply a backend server's registry entry."""
         registration = Registration(
             service=service,
-            address=f"10.0.0.1:{offset + 1000}",
+            address=address or f"10.0.0.1:{offset + 1000}",
             zone=zone,
             slots=slots,
             is_draining=draining,
             born=born,
+            write=write,
         )
-        return self._apply_registration(name, offset, registration)
+        return self._apply_registration(name, offset, registration, era)
 
-    def remove(self, name, *, offset):
+    def remove(self, name, *, offset, era=0):
         """Apply the removal of an entry."""
-        return self._apply_registration(name, offset, None)
+        return self._apply_registration(name, offset, None, era)
 
     def receive_heartbeat(
         self, name="front-2", zone=ZONE, in_flight=None, *, can_decide=True, interval=0.0
@@ -179,8 +193,10 @@
         states = self.state.servers.states.values()
         return sorted(each.server.name for each in states if each.is_eligible(self.now))
 
-    def _apply_registration(self, name, offset, registration):
-        read = RegistrationRead(now=self.now, name=name, offset=offset, registration=registration)
+    def _apply_registration(self, name, offset, registration, era):
+        read = RegistrationRead(
+            now=self.now, name=name, offset=offset, registration=registration, era=era
+        )
         return self.run_control(read)
 
 
--- a/features/subjects/zone_schedules.py
+++ b/features/subjects/zone_schedules.py
@@ -249,7 +249,8 @@
     def _build_entry_update(self, name, server, offset, draining):
         def apply_entry():
             daemon = self._daemons[name]
-            if offset <= daemon.registry.offsets.get(server, -1):
+            known = daemon.registry.versions.get(server)
+            if known is not None and offset <= known.position.offset:
                 return
             leaving = self._leaving[name]
             (leaving.add if draining else leaving.discard)(server)
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -107,11 +107,15 @@
 
 
 class RegistryEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One entry with its bytes as stored; ``None`` for a removed one."""
+    """One entry with its bytes as stored; ``None`` for a removed one.
+
+    :param era: era of the store in which it was written, 0 for that of the update's end
+    """
 
     name: str
     offset: int
     value: bytes | None
+    era: int = 0
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=3):
@@ -123,6 +127,8 @@
         reports none
     :param age_ms: milliseconds since the read began that ended at ``end``
     :param revision: revision of the newest configuration that the sender knows
+    :param era: era of the store of ``end``, 0 from a sender that knows none
+    :param start_era: era of ``start``
     """
 
     sender: str
@@ -132,6 +138,8 @@
     entries: list[RegistryEntry]
     age_ms: int = 0
     revision: int = 0
+    era: int = 0
+    start_era: int = 0
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=4):
--- a/packages/dotterelgate-core/src/dotterelgate_core/registry.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/registry.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core.configuration import BackendServer
 from dotterelgate_core.control_messages import ControlTicked
+from dotterelgate_core.eras import EntryVersion, Position, StoreEra, merge_versions
 from dotterelgate_core.messages import Decision, SlotFreed
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     "RegistrationRead",
     "RegistryListed",
     "RegistryState",
+    "StoreEraNamed",
     "StoreRecovered",
     "make_registry_filter",
 ]
@@ -38,6 +40,7 @@
     :param slots: requests that it runs concurrently
     :param cold_seconds: seconds after its start during which it is slow
     :param born: Unix millisecond of its start, if the entry states it
+    :param write: number of this write, counted by the server from its start
     """
 
     service: str
@@ -47,16 +50,18 @@
     is_draining: bool
     cold_seconds: float = 0.0
     born: int | None = None
+    write: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RegistrationRead:
     """The newest entry of one backend server.
 
-    :param offset: position of the entry among all writes; the highest one wins
+    :param offset: position of the entry among all writes of an era; the highest one wins
     :param registration: ``None`` when the entry was removed or is unusable
     :param reason: why ``registration`` is ``None``
     :param source: where it was read: the store or a peer
+    :param era: era of the store in which it was written
     """
 
     now: float
@@ -65,6 +70,14 @@
     registration: Registration | None
     reason: str = ""
     source: str = "the store"
+    era: int = 0
+
+    @property
+    def version(self) -> EntryVersion:
+        """Which write of the entry it is."""
+        registration = self.registration
+        run = None if registration is None else (registration.born or 0, registration.write)
+        return EntryVersion(position=Position(era=self.era, offset=self.offset), run=run)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,7 +89,7 @@
 
     now: float
     names: frozenset[str]
-    end: int
+    end: Position
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,22 +99,40 @@
     now: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreEraNamed:
+    """An answer of the store, or a peer that reads it, named the store's era.
+
+    :param source: who named it
+    """
+
+    now: float
+    era: int
+    source: str = "the store"
+
+
 @dataclass(kw_only=True, slots=True)
 class RegistryState:
     """What this daemon has read of the registry.
 
-    :param offsets: position of the newest entry of each backend server
+    :param versions: which write of each backend server's entry is known
+    :param era: the store's era
     :param lapsed: names of entries missing since an outage of the store, with the
         monotonic second from which they count as removed
     :param recovered_at: monotonic second at which the store answered again
     :param is_unavailable: whether the store is unavailable to this daemon
     """
 
-    offsets: dict[str, int] = field(default_factory=dict)
+    versions: dict[str, EntryVersion] = field(default_factory=dict)
+    era: StoreEra = field(default_factory=StoreEra)
     lapsed: dict[str, float] = field(default_factory=dict)
     recovered_at: float = float("-inf")
     is_unavailable: bool = False
 
+    def is_news(self, read: RegistrationRead) -> bool:
+        """Return whether an entry supersedes what is known of it."""
+        return merge_versions(self.versions.get(read.name), read.version)[1]
+
 
 def make_registry_filter(state: DaemonState, registry: RegistryState) -> Filter:
     """Build the filter that keeps the backend servers in step with the registry."""
@@ -113,6 +144,8 @@
             return _remove_unlisted(state, registry, message)
         if isinstance(message, StoreRecovered):
             return _apply_recovery(registry, message.now)
+        if isinstance(message, StoreEraNamed):
+            return _note_era(registry, message)
         if isinstance(message, ControlTicked):
             return [*_remove_lapsed(state, registry, message.now), message]
         return (message,)
@@ -128,12 +161,24 @@
     return []
 
 
+def _note_era(registry: RegistryState, named: StoreEraNamed) -> list[Message]:
+    if not registry.era.note(named.era):
+        return []
+    sentence = f"it was restored; era {named.era} begins, learned from {named.source}"
+    return [
+        # Entries written since the copy was taken are missing until they are written again.
+        *_apply_recovery(registry, named.now),
+        Decision(part="store", sentence=sentence, facts={"era": named.era}),
+    ]
+
+
 def _apply_entry(
     state: DaemonState, registry: RegistryState, read: RegistrationRead
 ) -> list[Message]:
-    if read.offset <= registry.offsets.get(read.name, -1):
+    version, is_news = merge_versions(registry.versions.get(read.name), read.version)
+    registry.versions[read.name] = version
+    if not is_news:
         return []
-    registry.offsets[read.name] = read.offset
     if read.registration is None:
         return _remove_entry(state, registry, read)
     registry.lapsed.pop(read.name, None)
@@ -200,10 +245,14 @@
 ) -> list[Message]:
     messages: list[Message] = []
     for name in list(state.servers.states):
-        if name in listed.names or registry.offsets.get(name, -1) >= listed.end:
+        if name in listed.names or registry.versions[name].position >= listed.end:
             continue
         missing = RegistrationRead(
-            now=listed.now, name=name, offset=listed.end - 1, registration=None
+            now=listed.now,
+            name=name,
+            offset=listed.end.offset - 1,
+            registration=None,
+            era=listed.end.era,
         )
         messages.extend(_apply_entry(state, registry, missing))
     return messages
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -46,9 +46,10 @@
     """Build the pipeline for everything that does not concern a single call.
 
     It handles ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
-    ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``LoadsReceived``,
-    ``HeartbeatReceived``, ``ProbeEnded`` and ``ControlTicked``. It emits ``ReadStore``,
-    ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
+    ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
+    ``LoadsReceived``, ``HeartbeatReceived``, ``ProbeEnded`` and ``ControlTicked``. It emits
+    ``ReadStore``, ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and
+    ``Decision``.
     """
     return connect(
         _make_configuration_filter(state),
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -123,7 +123,7 @@
             reading.started_at = min(reading.started_at, message.now)
             return [
                 *_order_read(state, registry, reading, message.now),
-                *_note_age(reading, message.now),
+                *_note_age(registry, reading, message.now),
                 message,
             ]
         if isinstance(message, StoreReadEnded):
@@ -177,13 +177,13 @@
     return compute_backoff(failures, first=FIRST_BACKOFF_SECONDS, longest=MAX_BACKOFF_SECONDS)
 
 
-def _note_age(reading: ReadingState, now: float) -> list[Message]:
+def _note_age(registry: RegistryState, reading: ReadingState, now: float) -> list[Message]:
     age = now - max(reading.current_at, reading.started_at)
     if (age > STALE_SECONDS) == reading.is_stale:
         return []
     reading.is_stale = not reading.is_stale
     sentence = f"what is known of it is {age:.1f} s old" if reading.is_stale else "read again"
-    return [Decision(part="store", sentence=sentence)]
+    return [Decision(part="store", sentence=sentence, facts={"era": registry.era.current})]
 
 
 def _end_read(registry: RegistryState, reading: ReadingState, now: float) -> list[Message]:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from dotterelgate_daemon.keyed_reading import StoreAccess
+    from dotterelgate_daemon.platform import PlatformAnswer
     from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["DaemonDirectory"]
@@ -37,6 +38,7 @@
         timers: TimerService,
     ) -> None:
         self._own = own
+        self._access = access
         self._calls = access.calls
         self._client = access.client
         self._timers = timers
@@ -58,9 +60,10 @@
             on_failure=lambda reason: self._retry_later(reason, self.start),
         )
 
-    def _receive_answer(self, status: int, _body: bytes) -> None:
-        if status != HTTPStatus.OK:
-            self._retry_later(f"the entry was answered with status {status}", self.start)
+    def _receive_answer(self, answer: PlatformAnswer) -> None:
+        self._access.read_era(answer)
+        if answer.status != HTTPStatus.OK:
+            self._retry_later(f"the entry was answered with status {answer.status}", self.start)
             return
         self._dependency.note_answer()
         self._read()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -3,27 +3,31 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import structlog
 
 from dotterelgate_core.backoff import compute_backoff
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.eras import Position
+from dotterelgate_core.registry import StoreEraNamed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelgate_core.eras import StoreEra
     from dotterelgate_core.pipes import Message
     from dotterelgate_core.state import DaemonState
     from dotterelgate_daemon.mesh import Mesh
-    from dotterelgate_daemon.platform import PlatformClient
+    from dotterelgate_daemon.platform import PlatformAnswer, PlatformClient
     from dotterelgate_daemon.store import Listing, StoreCalls, StoreRecord, Tail, Topic
 
 __all__ = ["Dependency", "KeyedReader", "ReadOutcome", "StoreAccess"]
 
 logger = structlog.get_logger("store")
 
+OLD_ERA = "the answer is older than a restore of the store"
 FIRST_BACKOFF_SECONDS = 0.5
 # A failing store is called no more often than this; failed calls load it as well.
 LONGEST_BACKOFF_SECONDS = 2.0
@@ -37,6 +41,7 @@
     :param client: sends the calls
     :param mesh: sends datagrams to the peers
     :param emit: runs a message through the control pipeline
+    :param era: the store's era, which the control pipeline keeps
     """
 
     state: DaemonState
@@ -44,6 +49,16 @@
     client: PlatformClient
     mesh: Mesh
     emit: Callable[[Message], None]
+    era: StoreEra
+
+    def read_era(self, answer: PlatformAnswer) -> int | None:
+        """Read and note the era that an answer of the store names, a refusal or an error included.
+
+        :returns: the era, or ``None`` if the store was restored since that answer
+        """
+        era = self.calls.read_era(answer.headers)
+        self.emit(StoreEraNamed(now=time.monotonic(), era=era))
+        return era if era == self.era.current else None
 
 
 class Dependency:
@@ -103,8 +118,11 @@
 class KeyedReader:
     """Reads one topic: all keys first, then the records written after.
 
+    All keys are listed again once the store was restored: offsets of the era before may lie behind
+    its end, or have been given to other records.
+
     :param on_records: called with records, in order
-    :param on_listed: called with all keys and the end offset of the listing
+    :param on_listed: called with all keys and the end of the listing
     """
 
     def __init__(
@@ -113,30 +131,31 @@
         topic: Topic,
         access: StoreAccess,
         on_records: Callable[[list[StoreRecord]], None],
-        on_listed: Callable[[frozenset[str], int], None] = lambda keys, end: None,
+        on_listed: Callable[[frozenset[str], Position], None] = lambda keys, end: None,
     ) -> None:
-        self.position: int | None = None
+        self.position: Position | None = None
         self._topic = topic
+        self._access = access
         self._calls = access.calls
         self._client = access.client
         self._on_records = on_records
         self._on_listed = on_listed
         self._keys: set[str] = set()
-        self._listing_end = 0
+        self._listing_end = Position(era=0, offset=0)
 
     def read(self, outcome: ReadOutcome) -> None:
         """Read the new records; list all keys the first time."""
         outcome = _time_failure(outcome)
-        if self.position is None:
+        start = self.position
+        if start is None or start.era < self._access.era.current:
             self._list_all(outcome)
             return
-        start = self.position
-        request = self._calls.read_tail(self._topic, start)
+        request = self._calls.read_tail(self._topic, start.offset)
         self._client.fetch(
             method=request.method,
             path=request.path,
             body=request.body,
-            on_answer=lambda status, body: self._receive_tail(start, status, body, outcome),
+            on_answer=lambda answer: self._receive_tail(start, answer, outcome),
             on_failure=outcome.on_failure,
         )
 
@@ -151,18 +170,22 @@
             method=request.method,
             path=request.path,
             body=request.body,
-            on_answer=lambda status, body: self._receive_page(after, status, body, outcome),
+            on_answer=lambda answer: self._receive_page(after, answer, outcome),
             on_failure=outcome.on_failure,
         )
 
-    def _receive_page(self, after: str, status: int, body: bytes, outcome: ReadOutcome) -> None:
-        page = self._calls.decode_listing(status, body)
-        if isinstance(page, Refusal):
-            outcome.on_failure(page.reason)
+    def _receive_page(self, after: str, answer: PlatformAnswer, outcome: ReadOutcome) -> None:
+        era = self._access.read_era(answer)
+        page = self._calls.decode_listing(answer.status, answer.body)
+        if era is None or isinstance(page, Refusal):
+            outcome.on_failure(page.reason if isinstance(page, Refusal) else OLD_ERA)
             return
         if not after:
-            self._listing_end = page.end
-        self._apply_page(page)
+            self._listing_end = Position(era=era, offset=page.end)
+        elif era != self._listing_end.era:
+            self._list_all(outcome)
+            return
+        self._apply_page(page, era)
         if not page.is_last and page.records:
             self._list(page.records[-1].key, outcome)
             return
@@ -171,25 +194,35 @@
         self._on_listed(frozenset(self._keys), self._listing_end)
         outcome.on_done()
 
-    def _apply_page(self, page: Listing) -> None:
+    def _apply_page(self, page: Listing, era: int) -> None:
         self._keys.update(record.key for record in page.records)
-        self._on_records(page.records)
+        self._on_records(_date(page.records, era))
 
-    def _receive_tail(self, start: int, status: int, body: bytes, outcome: ReadOutcome) -> None:
-        tail = self._calls.decode_tail(start, status, body)
-        if isinstance(tail, Refusal):
-            outcome.on_failure(tail.reason)
+    def _receive_tail(self, start: Position, answer: PlatformAnswer, outcome: ReadOutcome) -> None:
+        era = self._access.read_era(answer)
+        tail = self._calls.decode_tail(start.offset, answer.status, answer.body)
+        if era is None or isinstance(tail, Refusal):
+            outcome.on_failure(tail.reason if isinstance(tail, Refusal) else OLD_ERA)
+            return
+        if era != start.era:
+            # The offset belongs to the era before; what was read from it may have a gap.
+            self._list_all(outcome)
             return
         if tail.records_deleted:
             logger.info("store: records were deleted; listing all keys", topic=self._topic.value)
             self._list_all(outcome)
             return
-        self._apply_tail(tail)
+        self._apply_tail(tail, era)
         outcome.on_done()
 
-    def _apply_tail(self, tail: Tail) -> None:
-        self._on_records(tail.records)
-        self.position = max(self.position or 0, tail.end)
+    def _apply_tail(self, tail: Tail, era: int) -> None:
+        self._on_records(_date(tail.records, era))
+        end = Position(era=era, offset=tail.end)
+        self.position = max(self.position or end, end)
+
+
+def _date(records: list[StoreRecord], era: int) -> list[StoreRecord]:
+    return [replace(record, era=era) for record in records]
 
 
 def _time_failure(outcome: ReadOutcome) -> ReadOutcome:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -68,6 +68,11 @@
             "Seconds since the configuration was known to be the newest in the store",
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "dotterelgate_store_era",
+            "Era of the store, which rises each time it is restored from a copy",
+            registry=self.registry,
+        )
         self.statements = Gauge(
             "dotterelgate_server_statements",
             "Backend servers that state that they leave, want nothing for now, or name a limit",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -14,15 +15,25 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelgate_daemon.codec import AnswerHead, HeaderList
     from dotterelgate_daemon.exchanges import Pool, PoolTable
     from dotterelgate_daemon.metrics import Metrics
     from dotterelgate_daemon.timers import TimerService
 
-__all__ = ["PlatformClient"]
+__all__ = ["PlatformAnswer", "PlatformClient"]
 
 CONNECTIONS = 4
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformAnswer:
+    """A complete answer."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
 class PlatformClient:
     """Sends requests to one service of the platform.
 
@@ -66,12 +77,12 @@
         """
         body = b"" if document is None else json.dumps(document).encode("utf-8")
 
-        def receive(status: int, received: bytes) -> None:
-            if status != HTTPStatus.OK:
-                on_failure(f"{self._address} answered with status {status}")
+        def receive(answer: PlatformAnswer) -> None:
+            if answer.status != HTTPStatus.OK:
+                on_failure(f"{self._address} answered with status {answer.status}")
                 return
             try:
-                decoded = json.loads(received)
+                decoded = json.loads(answer.body)
             except ValueError:
                 on_failure(f"{self._address} answered with invalid JSON")
                 return
@@ -85,12 +96,11 @@
         method: str,
         path: str,
         body: bytes,
-        on_answer: Callable[[int, bytes], None],
+        on_answer: Callable[[PlatformAnswer], None],
         on_failure: Callable[[str], None],
     ) -> None:
         """Request bytes, and call one of the two functions later.
 
-        :param on_answer: gets the status and the body
         :param on_failure: gets the reason; the request may still have taken effect
         """
         headers = [
@@ -99,7 +109,7 @@
             (b"content-type", b"application/json"),
         ]
         received = bytearray()
-        statuses: list[int] = []
+        heads: list[AnswerHead] = []
 
         def receive_part(part: bytes) -> None:
             received.extend(part)
@@ -107,15 +117,21 @@
                 reason = f"{self._address} sent more than {self._answer_limit} bytes"
                 exchange.fail(Refusal(codes.ANSWER_INVALID, reason))
 
+        def finish() -> None:
+            head = heads[-1]
+            on_answer(
+                PlatformAnswer(status=head.status, headers=head.headers, body=bytes(received))
+            )
+
         exchange = Exchange(
             method=method,
             head=encode_request_head(method, path, headers),
             body=body,
             body_ended=True,
             chunked=False,
-            begin=lambda head: statuses.append(head.status),
+            begin=heads.append,
             part=receive_part,
-            completed=lambda: on_answer(statuses[-1], bytes(received)),
+            completed=finish,
             failed=lambda end: on_failure(end.refusal.reason),
         )
         self._metrics.control_bytes.labels(channel=self._channel).inc(len(body) + len(path) + 100)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -15,8 +15,9 @@
     encode_datagram,
 )
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.eras import Position
 from dotterelgate_core.readers import select_relay_receivers
-from dotterelgate_core.registry import RegistrationRead, RegistryListed
+from dotterelgate_core.registry import RegistrationRead, RegistryListed, StoreEraNamed
 from dotterelgate_core.store_reading import REPEAT_SECONDS, StoreUpdateReceived
 from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader
 from dotterelgate_daemon.store import StoreRecord, Topic
@@ -69,7 +70,7 @@
         self._requested_at = float("-inf")
         self._has_listed = False
         self._changes: dict[str, tuple[float, RegistryEntry]] = {}
-        self._positions: list[tuple[float, int]] = []
+        self._positions: list[tuple[float, Position]] = []
         self._dependency = Dependency(name="the registry's topic")
         self._reader = KeyedReader(
             topic=Topic.REGISTRY,
@@ -109,7 +110,9 @@
         if position is not None:
             self._send_in_parts(address, position, list(self._entries.values()))
 
-    def _send_in_parts(self, address: str, position: int, entries: list[RegistryEntry]) -> None:
+    def _send_in_parts(
+        self, address: str, position: Position, entries: list[RegistryEntry]
+    ) -> None:
         batch: list[RegistryEntry] = []
         size = 0
         for entry in entries:
@@ -121,31 +124,32 @@
         if batch:
             self._send_entries(address, position, batch)
 
-    def _send_entries(self, address: str, position: int, entries: list[RegistryEntry]) -> None:
+    def _send_entries(self, address: str, position: Position, entries: list[RegistryEntry]) -> None:
         update = RegistryUpdate(
-            sender=self._state.name, start=position, end=position, returned_ms=-1, entries=entries
+            sender=self._state.name,
+            start=position.offset,
+            end=position.offset,
+            returned_ms=-1,
+            entries=entries,
+            era=position.era,
+            start_era=position.era,
         )
         self._mesh.send_message(address, update)
 
-    def _note_listing(self, keys: frozenset[str], end: int) -> None:
+    def _note_listing(self, keys: frozenset[str], end: Position) -> None:
         now = time.monotonic()
         self._emit(RegistryListed(now=now, names=keys, end=end))
         for name in self._entries.keys() - keys:
-            if self._entries[name].offset < end:
+            if _find_position(self._entries[name]) < end:
                 del self._entries[name], self._decoded[name]
-                self._note_change(now, RegistryEntry(name=name, offset=end - 1, value=None))
+                removed = RegistryEntry(name=name, offset=end.offset - 1, value=None, era=end.era)
+                self._changes[name] = (now, removed)
         self._has_listed = True
 
     def _apply_records(self, records: list[StoreRecord], source: str) -> None:
         now = time.monotonic()
         for record in records:
             registration, reason = self._decode(record)
-            entry = RegistryEntry(name=record.key, offset=record.offset, value=record.value)
-            self._keep_newest(entry)
-            is_change = self._is_change(record.key, registration)
-            # What the first listing holds is no news to peers.
-            if is_change and (self._has_listed or source != STORE):
-                self._note_change(now, entry)
             read = RegistrationRead(
                 now=now,
                 name=record.key,
@@ -153,12 +157,22 @@
                 registration=registration,
                 reason=reason,
                 source=source,
+                era=record.era,
             )
+            if self._registry.is_news(read):
+                self._keep(now, record, registration, source)
             self._emit(read)
 
-    def _keep_newest(self, entry: RegistryEntry) -> None:
-        if entry.offset < self._registry.offsets.get(entry.name, -1):
-            return
+    def _keep(
+        self, now: float, record: StoreRecord, registration: Registration | None, source: str
+    ) -> None:
+        entry = RegistryEntry(
+            name=record.key, offset=record.offset, value=record.value, era=record.era
+        )
+        is_change = self._is_change(record.key, registration)
+        # What the first listing holds is no news to peers.
+        if is_change and (self._has_listed or source != STORE):
+            self._changes[entry.name] = (now, entry)
         if entry.value is None:
             self._entries.pop(entry.name, None)
         else:
@@ -191,12 +205,7 @@
             or previous.service != registration.service
         )
 
-    def _note_change(self, now: float, entry: RegistryEntry) -> None:
-        known = self._changes.get(entry.name)
-        if known is None or known[1].offset < entry.offset:
-            self._changes[entry.name] = (now, entry)
-
-    def _note_position(self, now: float, position: int) -> int:
+    def _note_position(self, now: float, position: Position) -> Position:
         """Note up to where this daemon follows the registry without a gap.
 
         :returns: the position from which on it has all changes, which it can repeat to peers
@@ -208,7 +217,7 @@
         self._changes = {
             name: (at, entry)
             for name, (at, entry) in self._changes.items()
-            if now - at < REPEAT_SECONDS or entry.offset >= start
+            if now - at < REPEAT_SECONDS or _find_position(entry) >= start
         }
         return start
 
@@ -230,26 +239,34 @@
         self._mesh.send_to_all(addresses, data)
 
     def _encode_update(
-        self, now: float, start: int, end: int, entries: list[RegistryEntry]
+        self, now: float, start: Position, end: Position, entries: list[RegistryEntry]
     ) -> bytes:
         since_return = now - self._registry.recovered_at
         update = RegistryUpdate(
             sender=self._state.name,
-            start=start,
-            end=end,
+            start=start.offset,
+            end=end.offset,
             returned_ms=int(since_return * MILLISECONDS) if since_return < REPEAT_SECONDS else -1,
             entries=entries,
             age_ms=int((now - self._reading.current_at) * MILLISECONDS),
             revision=self._state.configuration.revision,
+            era=end.era,
+            start_era=start.era,
         )
         return encode_datagram(update)
 
     def _apply_update(self, update: RegistryUpdate) -> None:
+        now = time.monotonic()
+        self._emit(StoreEraNamed(now=now, era=update.era, source=update.sender))
+        era = self._registry.era
+        start = Position(era=era.resolve(update.start_era), offset=update.start)
+        end = Position(era=era.resolve(update.era), offset=update.end)
         records = [
-            StoreRecord(key=each.name, offset=each.offset, value=each.value)
+            StoreRecord(
+                key=each.name, offset=each.offset, value=each.value, era=each.era or end.era
+            )
             for each in update.entries
         ]
-        now = time.monotonic()
         if update.returned_ms >= 0:
             recovered_at = now - update.returned_ms / MILLISECONDS
         else:
@@ -257,7 +274,8 @@
         peer = self._state.peers.listed.get(update.sender)
         is_remote = peer is not None and peer.zone != self._state.zone
         position = self._reader.position
-        has_no_gap = position is not None and position >= update.start
+        # A sender that stands in an earlier era has not read the restored store.
+        has_no_gap = position is not None and end.era == era.current and position >= start
         if position is not None and has_no_gap:
             if update.revision <= self._state.configuration.revision:
                 received = StoreUpdateReceived(
@@ -267,13 +285,17 @@
                     is_remote_zone=is_remote,
                 )
                 self._emit(received)
-            self._reader.position = max(position, update.end)
+            self._reader.position = max(position, end)
             self._note_position(now, self._reader.position)
         self._apply_records(records, update.sender)
         if is_remote and has_no_gap:
             self.announce_changes(now, select_relay_receivers(self._state, self._reading, now))
 
 
+def _find_position(entry: RegistryEntry) -> Position:
+    return Position(era=entry.era, offset=entry.offset)
+
+
 def _estimate_size(entry: RegistryEntry) -> int:
     """Estimate the bytes that an entry takes in a datagram."""
     return len(entry.value or b"") + len(entry.name) + ENTRY_OVERHEAD_BYTES
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
@@ -12,6 +12,7 @@
     from dotterelgate_core.codes import Refusal
     from dotterelgate_core.configuration import Configuration
     from dotterelgate_core.registry import Registration
+    from dotterelgate_daemon.codec import HeaderList
 
 __all__ = ["Listing", "StoreCalls", "StoreRecord", "StoreRequest", "Tail", "Topic"]
 
@@ -35,11 +36,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreRecord:
-    """The value of a key as written at an offset; ``None`` where it was removed."""
+    """The value of a key as written at an offset; ``None`` where it was removed.
+
+    :param era: era of the store, 0 where it names none
+    """
 
     key: str
     offset: int
     value: bytes | None
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,6 +80,7 @@
     :param list_newest: requests the newest record of each key that sorts after a key
     :param read_tail: requests records from an offset on
     :param append: requests to write one record
+    :param read_era: reads the store's era from an answer's headers, 0 where it names none
     """
 
     list_newest: Callable[[Topic, str], StoreRequest]
@@ -84,4 +90,5 @@
     decode_tail: Callable[[int, int, bytes], Tail | Refusal]
     decode_configuration: Callable[[bytes], Configuration | Refusal]
     decode_registration: Callable[[bytes], Registration | Refusal]
+    read_era: Callable[[HeaderList], int]
     configuration_key: str
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -271,7 +271,10 @@
         metrics=base.metrics,
         emit=control.run,
     )
-    access = StoreAccess(state=state, calls=calls, client=client, mesh=mesh, emit=control.run)
+    base.metrics.store_era.set_function(lambda: registry.era.current)
+    access = StoreAccess(
+        state=state, calls=calls, client=client, mesh=mesh, emit=control.run, era=registry.era
+    )
     configuration = ConfigurationFollower(access=access)
     entries = RegistryFollower(
         access=access,
@@ -283,7 +286,9 @@
         access=access, reading=reading, configuration=configuration, registry=entries
     )
     control.directory = DaemonDirectory(
-        own=(settings.name, settings.peers), access=access, timers=base.timers
+        own=(settings.name, settings.peers),
+        access=access,
+        timers=base.timers,
     )
     exchange = SlotExchange(state=state, mesh=mesh, emit=base.gateway.run)
     base.gateway.add_sinks(exchange.sinks)
