Write a daemon's entry again after a restore of the store lost it

What operators would see: a daemon that starts after the platform's store came back from a copy older than some daemons' starts does not find those; they do not find it either, and both count load and read the store as if the other did not exist.

Cause: the entry by which daemons are found is written once, at the start, and its acknowledgement was taken for good.

Fix: each daemon that learns of a new era lists the entries once, at a random moment within 3 s (312 daemons: 104 of the 2,000 reads a second), and writes its own again if it is gone; then it greets all, as at its start.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -17,6 +17,13 @@
     And i-2 leaves and i-1 writes its entry 30 times more
     Then i-2 gets no request later than 2 s after that, and the others do
 
+  # The entries by which a daemon that starts finds the others are written once, at their starts.
+  Scenario: Daemons whose entries are gone are found again
+    Given the platform with 2 backend servers and 2 daemons
+    When the store is restored to the time before the daemons started
+    And front-3 starts
+    Then the other daemons know front-3 within 6 s
+
   Scenario: A daemon that starts serves the configuration that its peers have in force
     Given the platform with 2 backend servers and 2 daemons
     When version 12 with the prefix /new/ is written and served
--- a/packages/dotterelgate-core/src/dotterelgate_core/registry.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/registry.py
@@ -23,6 +23,7 @@
     "RegistryState",
     "StoreEraNamed",
     "StoreRecovered",
+    "StoreRestored",
     "make_registry_filter",
 ]
 
@@ -111,6 +112,13 @@
     source: str = "the store"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreRestored:
+    """Order to check what this daemon wrote, since the store was restored from a copy."""
+
+    era: int
+
+
 @dataclass(kw_only=True, slots=True)
 class RegistryState:
     """What this daemon has read of the registry.
@@ -168,6 +176,7 @@
     return [
         # Entries written since the copy was taken are missing until they are written again.
         *_apply_recovery(registry, named.now),
+        StoreRestored(era=named.era),
         Decision(part="store", sentence=sentence, facts={"era": named.era}),
     ]
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -48,7 +48,7 @@
     It handles ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
     ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
     ``LoadsReceived``, ``HeartbeatReceived``, ``ProbeEnded`` and ``ControlTicked``. It emits
-    ``ReadStore``, ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and
+    ``ReadStore``, ``StoreRestored``, ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and
     ``Decision``.
     """
     return connect(
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -17,7 +17,7 @@
 from dotterelgate_core.leases import LeaseTable
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.peers import PeerTable
-from dotterelgate_core.registry import RegistryState
+from dotterelgate_core.registry import RegistryState, StoreRestored
 from dotterelgate_core.retries import BudgetTable
 from dotterelgate_core.sampling import SamplingState
 from dotterelgate_core.splits import SplitTable
@@ -176,6 +176,7 @@
         self._sampling = sampling
         self._sinks: dict[type, Callable[[Message], None]] = {
             ReadStore: lambda order: self.reader.read(),
+            StoreRestored: lambda order: self.directory.check_later(),
             Probe: prober.probe,
             ConfigurationChanged: self._change_configuration,
             SlotFreed: on_slot_freed,
@@ -289,6 +290,7 @@
         own=(settings.name, settings.peers),
         access=access,
         timers=base.timers,
+        random=random.Random(),
     )
     exchange = SlotExchange(state=state, mesh=mesh, emit=base.gateway.run)
     base.gateway.add_sinks(exchange.sinks)
