--- a/features/subjects/exchange.py
+++ b/features/subjects/exchange.py
@@ -75,6 +75,7 @@
         self.is_open = True
         self.is_full = False
         self.received_eof = False
+        self.was_refused = False
         self.drained = None
 
     def close(self):
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.limiting import has_allowance
-from dotterelgate_core.messages import Decision, Dispatch, SlotFreed
+from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
 from dotterelgate_core.slots import GrantSlot, SlotGrant
 
 if TYPE_CHECKING:
@@ -199,7 +199,9 @@
 
 
 def _list_times(call_state: CallState, now: float) -> dict[str, object]:
+    identity = call_state.call.identity
     return {
+        **({"identity": format_identity(identity)} if identity else {}),
         "route": call_state.routed.route.name or call_state.routed.route.prefix,
         "attempt": call_state.attempts,
         "waited_ms": round((now - call_state.arrived) * 1000),
--- a/packages/dotterelgate-core/src/dotterelgate_core/control_messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control_messages.py
@@ -140,6 +140,7 @@
     :param load: its load, if the answer reports all of it
     :param reported_name: its name, if the answer reports one
     :param limit: requests a second that it takes, as in ``ServerReport``
+    :param refused: whether nothing listens at its address
     """
 
     now: float
@@ -152,6 +153,7 @@
     load: LoadReport | None = None
     reported_name: str | None = None
     limit: float | None = float("inf")
+    refused: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -36,9 +36,15 @@
     "ServerReport",
     "SlotFreed",
     "Ticked",
+    "format_identity",
 ]
 
 
+def format_identity(identity: int) -> str:
+    """Format a request's identity as the log and the status page show it."""
+    return f"{identity:016x}"
+
+
 class Purpose(str, Enum):
     """Why a call is forwarded to a peer."""
 
@@ -64,6 +70,7 @@
     :param holder: daemon that holds its key and set the fence, if any
     :param fence: wall-clock second after which it must not start, if its key is held
     :param request_id: the caller's own id of this request, for the log
+    :param identity: digest that is the same whenever the same request comes again, 0 for none
     """
 
     id: int
@@ -80,6 +87,7 @@
     holder: str | None = None
     fence: float | None = None
     request_id: str = ""
+    identity: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -168,6 +176,7 @@
 
     :param sent: whether the backend server may have read the complete request head
     :param relay_started: whether part of the answer went to the caller already
+    :param refused: whether nothing listens at the server's address
     """
 
     now: float
@@ -176,6 +185,7 @@
     sent: bool
     relay_started: bool
     refusal: Refusal
+    refused: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
@@ -36,6 +37,7 @@
 __all__ = ["CallerServer"]
 
 MAX_PIPELINED_REQUESTS = 8
+IDENTITY_BYTES = 8
 # A request sent on a connection that was accepted or answered just now may not have
 # arrived yet; closing earlier would cut it off.
 TRANSIT_SECONDS = 0.3
@@ -260,6 +262,7 @@
             retried=terms.retried,
             unread_wait=incoming.unread_wait,
             request_id=terms.request_id,
+            identity=_compute_identity(head, incoming.body, self._server.body_limit),
         )
 
     def _list_headers(self, head: RequestHead) -> HeaderList:
@@ -376,3 +379,22 @@
     digest = xxhash.xxh3_64(f"{head.method} {head.target}\n".encode())
     digest.update(bytes(body))
     return digest.intdigest()
+
+
+def _compute_identity(head: RequestHead, body: bytearray, limit: int) -> int:
+    """Compute a digest that is the same whenever the same request comes again.
+
+    It covers method, host, target, credentials and body; of a body that is streamed, since it has
+    more than ``limit`` bytes, its stated length and its first bytes.
+    """
+    length = len(body) if len(body) <= limit else head.length or 0
+    parts = (
+        head.method.encode("latin-1"),
+        find_header(head.headers, b"host") or b"",
+        head.target.encode("latin-1"),
+        find_header(head.headers, b"authorization") or b"",
+        b"%d" % length,
+        bytes(body[:limit]),
+    )
+    # A cryptographic digest: nobody can make a request that shares the identity of another's.
+    return int.from_bytes(blake2b(b"\n".join(parts), digest_size=IDENTITY_BYTES).digest(), "big")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -44,10 +45,12 @@
     """How an exchange ended without a complete answer.
 
     :param sent: whether the server may have read the complete request head
+    :param refused: whether nothing listens at the server's address
     """
 
     sent: bool
     refusal: Refusal
+    refused: bool = False
 
 
 class Exchange:
@@ -165,26 +168,29 @@
             refusal = Refusal(codes.ANSWER_INVALID, f"invalid answer: {self._reader.problem}")
             self.fail(refusal)
 
-    def note_disconnect(self, refusal: Refusal, *, received_eof: bool) -> None:
+    def note_disconnect(
+        self, refusal: Refusal, *, received_eof: bool, refused: bool = False
+    ) -> None:
         """Note that the connection ended.
 
         :param received_eof: whether the server closed it; otherwise it was reset or lost
+        :param refused: whether it was never established, since nothing listens
         """
         if self._is_ended:
             return
         if received_eof and self._reader.note_eof():
             self._complete()
         else:
-            self.fail(refusal)
+            self.fail(refusal, refused=refused)
 
-    def fail(self, refusal: Refusal) -> None:
+    def fail(self, refusal: Refusal, *, refused: bool = False) -> None:
         """End the exchange without a complete answer and close its connection."""
         if self._is_ended:
             return
         sent = self._may_have_been_read()
         self._is_ended = True
         self.release(False)
-        self._failed(ExchangeEnd(sent=sent, refusal=refusal))
+        self._failed(ExchangeEnd(sent=sent, refusal=refusal, refused=refused))
 
     def abandon(self) -> None:
         """Cancel the request by closing the connection, without calling ``failed``."""
@@ -337,15 +343,18 @@
                 connection.exchange.start(connection.stream)
 
         self.open_count += 1
-        connection.stream = self.streams.open(
+        opened = self.streams.open(
             address=self.address,
             ready=ready,
             receive=lambda data: self._receive(connection, data),
             lost=lambda: self._note_disconnect(connection),
         )
-        if connection.stream is None:
+        if isinstance(opened, int):
             self.open_count -= 1
-            exchange.fail(Refusal(codes.CONNECT_FAILED, f"{self.address} refused"))
+            refusal = Refusal(codes.CONNECT_FAILED, f"{self.address} refused")
+            exchange.fail(refusal, refused=opened == errno.ECONNREFUSED)
+            return
+        connection.stream = opened
 
     def _attach(self, connection: _Connection, exchange: Exchange) -> None:
         connection.exchange = exchange
@@ -386,10 +395,15 @@
             return
         exchange, connection.exchange = connection.exchange, None
         self._lower_reuse_limit(connection, exchange)
-        received_eof = connection.stream is not None and connection.stream.received_eof
+        stream = connection.stream
+        received_eof = stream is not None and stream.received_eof
         cause = "closed" if received_eof else "reset or lost"
         refusal = Refusal(codes.ANSWER_LOST, f"{self.address} {cause} the connection")
-        exchange.note_disconnect(refusal, received_eof=received_eof)
+        exchange.note_disconnect(
+            refusal,
+            received_eof=received_eof,
+            refused=stream is not None and stream.was_refused,
+        )
 
     def _lower_reuse_limit(self, connection: _Connection, exchange: Exchange) -> None:
         idle = connection.idle_before_use
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -322,6 +322,7 @@
             sent=end.sent,
             relay_started=pending.relay_started,
             refusal=end.refusal,
+            refused=end.refused,
         )
         self.run(message)
 
@@ -437,7 +438,11 @@
             part="gateway",
             sentence=sentence,
             call_id=pending.call.id,
-            facts={"elapsed_ms": elapsed, **facts},
+            facts={
+                "elapsed_ms": elapsed,
+                "identity": messages.format_identity(pending.call.identity),
+                **facts,
+            },
         )
         self._on_decision(decision, pending.call.request_id)
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -60,7 +60,7 @@
         answers: list[AnswerTerms] = []
         statuses: list[int] = []
 
-        def report_end(*, answered: bool) -> None:
+        def report_end(*, answered: bool, refused: bool = False) -> None:
             message = ProbeEnded(
                 now=time.monotonic(),
                 wall=sent_wall,
@@ -72,6 +72,7 @@
                 load=answers[0].report.load if answers else None,
                 reported_name=answers[0].server if answers else None,
                 limit=answers[0].report.limit if answers else None,
+                refused=refused,
             )
             self._emit(message)
 
@@ -90,7 +91,7 @@
             begin=begin,
             part=lambda part: None,
             completed=lambda: report_end(answered=True),
-            failed=lambda end: report_end(answered=False),
+            failed=lambda end: report_end(answered=False, refused=end.refused),
             matches_request=lambda received: self._dialect.is_answer_to(
                 self._dialect.read_answer(received), ""
             ),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -77,6 +77,7 @@
         self.drained: Callable[[], None] | None = None
         self.is_open = True
         self.received_eof = False
+        self.was_refused = False
         self.sent_bytes = 0
         self._service = service
         self._pending: deque[bytes] = deque()
@@ -152,7 +153,8 @@
             data = self.sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
+        except OSError as error:
+            self._note_error(error.errno)
             self.end()
             return
         if data:
@@ -164,11 +166,18 @@
     def end(self) -> None:
         """Close because the remote side or the network ended the connection."""
         if self.is_open:
+            if self.ready is not None:
+                self._note_error(self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
             self.close()
             self.lost()
 
+    def _note_error(self, number: int | None) -> None:
+        self.was_refused = self.was_refused or number == errno.ECONNREFUSED
+
     def _establish(self) -> bool:
-        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._note_error(error)
             self.end()
             return False
         ready, self.ready = self.ready, None
@@ -254,18 +263,19 @@
         ready: Callable[[], None],
         receive: Callable[[bytes], None],
         lost: Callable[[], None],
-    ) -> Stream | None:
+    ) -> Stream | int:
         """Open a connection to ``IP:port``.
 
-        :returns: ``None`` when it failed at once
+        :returns: the number of the error when it failed at once
         """
         host, port = address.rsplit(":", 1)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         set_options(sock)
-        if sock.connect_ex((host, int(port))) not in (0, errno.EINPROGRESS):
+        error = sock.connect_ex((host, int(port)))
+        if error not in (0, errno.EINPROGRESS):
             sock.close()
-            return None
+            return error
         stream = Stream(sock=sock, service=self, receive=receive, lost=lost, ready=ready)
         self._watch(stream, writes=True)
         return stream
