Refuse a request under which backend servers end, on all daemons

Cause: a broken connection was a matter of one call on one daemon. Nothing told the next call, on the same or another daemon, that the same request had just ended a server; the pause of failing servers moved it on to those that still ran. The class of fault: a failure that belongs to the request is booked on the server alone.

Fix: a connection that breaks under a request is evidence once a probe finds nothing listening at the server's address, unless the server leaves. Two servers that ended under one request alone, or three where others were at the same two, and no answer in between: the request is refused at once, with the end of the refusal as Retry-After, 60 s and twice as long with each further end. An answer that ran clears it, on all daemons; so does POST /clear-suspect. Daemons send what they saw to all peers at once and three times again; one that starts gets it with the first heartbeats. Bounded: 1,024 suspects, 3.4 MB.

Why it works: the second end and its spread take about 0.05 s, less than a caller needs to come back. A resetting or unreachable server still listens or times out, so it is no evidence; requests that were beside a deadly one succeed elsewhere.

--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -146,7 +146,7 @@
         """Run a message through the request pipeline."""
         return list(self._decide(message))
 
-    def arrive(self, path="/read/x", timeout=0.5):
+    def arrive(self, path="/read/x", timeout=0.5, identity=0):
         """Let a request arrive; returns its id and the orders."""
         self.next_id += 1
         call = messages.Call(
@@ -156,6 +156,7 @@
             path=path,
             timeout=timeout,
             request_id=f"request-{self.next_id}",
+            identity=identity,
         )
         arrived = messages.CallArrived(now=self.now, wall=self.now, call=call)
         return self.next_id, self.run(arrived)
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -19,11 +19,14 @@
     "RegistryUpdate",
     "RelayRequest",
     "ServerStatements",
+    "EndedRun",
     "SlotDenialDatagram",
     "SlotGrantDatagram",
     "SlotQueuedDatagram",
     "SlotRequestDatagram",
     "SlotWithdrawalDatagram",
+    "SuspectEntry",
+    "SuspectUpdate",
     "decode_datagram",
     "encode_datagram",
 ]
@@ -246,6 +249,36 @@
     body: bytes
 
 
+class EndedRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A run of a backend server that ended while it had a request.
+
+    :param born: Unix millisecond of its start, 0 where its entry states none
+    :param age_ms: milliseconds since it ended
+    """
+
+    name: str
+    born: int
+    age_ms: int
+
+
+class SuspectEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A request under which backend servers ended.
+
+    :param cleared_ms: milliseconds since a server answered it, -1 for never
+    """
+
+    identity: int
+    ended: list[EndedRun]
+    cleared_ms: int = -1
+
+
+class SuspectUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=14):
+    """What the sender knows of requests under which backend servers ended."""
+
+    sender: str
+    suspects: list[SuspectEntry]
+
+
 Datagram = (
     Heartbeat
     | LoadUpdate
@@ -259,6 +292,7 @@
     | SlotQueuedDatagram
     | SlotDenialDatagram
     | SlotWithdrawalDatagram
+    | SuspectUpdate
 )
 
 # Messages that need more than one packet are compressed: entries of a registry repeat each
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -111,6 +111,9 @@
 CONNECT_FAILED = ResultCode(
     205, "connect_failed", 503, _NOT_RUN, "No backend server accepted a connection."
 )
+ENDS_SERVERS = ResultCode(
+    206, "ends_servers", 503, _NOT_RUN, "Backend servers ended while they had this request."
+)
 NO_HOLDER = ResultCode(
     300, "no_holder", 503, _ATTEMPT, "No daemon holds the key's range at the moment."
 )
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -19,6 +19,7 @@
 from dotterelgate_core.policies import make_policies
 from dotterelgate_core.routes import make_route_filter
 from dotterelgate_core.settling import make_finishing_filter, make_settling_filter
+from dotterelgate_core.suspecting import make_evidence_filter, make_suspect_filter
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -42,10 +43,10 @@
 
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
     ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotRequested``, ``SlotGranted``,
-    ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn`` and ``Ticked``. It emits
-    ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``,
-    ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``, ``RefuseCall`` and
-    ``Decision``.
+    ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
+    ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
+    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
+    ``DoubtServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -56,11 +57,16 @@
     policies = {**make_policies(random, state.zone), **(extra_policies or {})}
     granting = GrantingState()
     key_filters = [make_holding_filter(state), make_owning_filter(state, policies)] if keyed else []
+    # Daemons that share no keys share what they know of requests that end servers.
+    evidence_filters = [] if keyed else [make_evidence_filter(state)]
+    suspect_filters = [] if keyed else [make_suspect_filter(state)]
     key_settling_filters = [make_key_settling_filter(state)] if keyed else []
     return connect(
         make_route_filter(state),
+        *evidence_filters,
         make_observing_filter(state),
         make_settling_filter(state),
+        *suspect_filters,
         *key_filters,
         make_granting_filter(state, granting),
         make_asking_filter(state, AskingState(), policies),
--- a/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
@@ -18,7 +18,7 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["SamplingState", "make_sampling_filter"]
+__all__ = ["SamplingState", "build_probe", "make_sampling_filter"]
 
 # A report older than this is renewed; slowdowns last about 150 ms.
 MAX_AGE_SECONDS = 0.04
@@ -82,26 +82,32 @@
         sampling.selected_at = tick.now
     for name in sampling.selected:
         server = state.servers.states.get(name)
-        if server is None:
+        if server is None or not _is_due(state, sampling, server, tick.now):
             continue
-        service = state.configuration.find_service(server.service)
-        if service is None or not _is_due(state, sampling, server, tick.now):
+        probe = build_probe(state, server, tick.wall)
+        if probe is None:
             continue
         sampling.probed_at[name] = tick.now
         sampling.pending.add(name)
-        orders.append(
-            Probe(
-                service=server.service,
-                server=server.server,
-                fence=tick.wall + PROBE_TIMEOUT_SECONDS,
-                cost=PROBE_COST_SECONDS,
-                path=service.probe_path,
-                timeout=PROBE_TIMEOUT_SECONDS,
-            )
-        )
+        orders.append(probe)
     return orders
 
 
+def build_probe(state: DaemonState, server: ServerState, wall: float) -> Probe | None:
+    """Build the order to probe a backend server, unless the configuration lacks its service."""
+    service = state.configuration.find_service(server.service)
+    if service is None:
+        return None
+    return Probe(
+        service=server.service,
+        server=server.server,
+        fence=wall + PROBE_TIMEOUT_SECONDS,
+        cost=PROBE_COST_SECONDS,
+        path=service.probe_path,
+        timeout=PROBE_TIMEOUT_SECONDS,
+    )
+
+
 def _list_sampled(state: DaemonState, sampling: SamplingState, now: float) -> list[str]:
     """List the backend servers that this daemon samples.
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -12,6 +12,7 @@
 from dotterelgate_core.retries import BudgetTable
 from dotterelgate_core.servers import ServerTable
 from dotterelgate_core.splits import SplitTable
+from dotterelgate_core.suspects import SuspectTable
 from dotterelgate_core.work_times import WorkTimes
 
 if TYPE_CHECKING:
@@ -77,6 +78,7 @@
     splits: SplitTable = field(default_factory=SplitTable)
     times: WorkTimes = field(default_factory=WorkTimes)
     owners: OwnerTable = field(default_factory=OwnerTable)
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -12,6 +12,7 @@
 from dotterelgate_core.sampling import make_sampling_filter
 from dotterelgate_core.sharing import make_sharing_filter
 from dotterelgate_core.store_reading import make_reading_filter
+from dotterelgate_core.suspecting import make_doubt_filter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -47,15 +48,16 @@
 
     It handles ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
     ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
-    ``LoadsReceived``, ``HeartbeatReceived``, ``ProbeEnded`` and ``ControlTicked``. It emits
-    ``ReadStore``, ``StoreRestored``, ``Probe``, ``ConfigurationChanged``, ``SlotFreed`` and
-    ``Decision``.
+    ``LoadsReceived``, ``HeartbeatReceived``, ``ServerDoubted``, ``ProbeEnded`` and
+    ``ControlTicked``. It emits ``ReadStore``, ``StoreRestored``, ``Probe``, ``ServerEnded``,
+    ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
     """
     return connect(
         _make_configuration_filter(state),
         make_reading_filter(state, registry, reading),
         make_registry_filter(state, registry),
         make_sharing_filter(state),
+        make_doubt_filter(state),
         make_sampling_filter(state, sampling),
         _drop_ticks,
     )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -34,7 +34,7 @@
     from dotterelgate_daemon.streams import StreamService
     from dotterelgate_daemon.timers import PauseDetector
 
-__all__ = ["CallerServer"]
+__all__ = ["CallerServer", "compute_identity"]
 
 MAX_PIPELINED_REQUESTS = 8
 IDENTITY_BYTES = 8
@@ -262,7 +262,7 @@
             retried=terms.retried,
             unread_wait=incoming.unread_wait,
             request_id=terms.request_id,
-            identity=_compute_identity(head, incoming.body, self._server.body_limit),
+            identity=compute_identity(head, incoming.body, self._server.body_limit),
         )
 
     def _list_headers(self, head: RequestHead) -> HeaderList:
@@ -381,7 +381,7 @@
     return digest.intdigest()
 
 
-def _compute_identity(head: RequestHead, body: bytearray, limit: int) -> int:
+def compute_identity(head: RequestHead, body: bytearray, limit: int) -> int:
     """Compute a digest that is the same whenever the same request comes again.
 
     It covers method, host, target, credentials and body; of a body that is streamed, since it has
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/endpoint.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -16,21 +17,27 @@
 
 __all__ = ["Endpoint", "serve_endpoint"]
 
+IDENTITY_PATTERN = re.compile(r"[0-9a-f]{16}")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Endpoint:
     """Sources of the pages ``/health``, ``/metrics``, ``/status`` and ``/explain``.
 
+    ``POST /clear-suspect?identity=...`` lets a request be sent again that ended backend servers.
+
     :param is_healthy: whether the platform's balancer should send callers here
     :param render_metrics: the metrics in the text format
     :param describe: the daemon's state as a JSON document
     :param explain: how a request of a method, host and path would be routed
+    :param clear_suspect: clears the request of an identity, on all daemons
     """
 
     is_healthy: Callable[[], bool]
     render_metrics: Callable[[], bytes]
     describe: Callable[[], dict]
     explain: Callable[[str, str, str], dict]
+    clear_suspect: Callable[[int], None] = lambda identity: None
 
 
 def serve_endpoint(streams: StreamService, address: str, endpoint: Endpoint) -> None:
@@ -43,6 +50,7 @@
         "/metrics": lambda request: _answer_metrics(request, endpoint),
         "/status": lambda request: answer_json(request, endpoint.describe()),
         "/explain": lambda request: _answer_explanation(request, endpoint),
+        "/clear-suspect": lambda request: _clear_suspect(request, endpoint),
     }
 
     def answer(request: HttpRequest) -> None:
@@ -69,5 +77,15 @@
     answer_json(request, endpoint.explain(method, host, query.get("path", "/")))
 
 
+def _clear_suspect(request: HttpRequest, endpoint: Endpoint) -> None:
+    identity = request.query.get("identity", "")
+    if request.head.method != "POST" or IDENTITY_PATTERN.fullmatch(identity) is None:
+        body = b"POST with identity=, the 16 hexadecimal digits of the log\n"
+        request.answer(HTTPStatus.BAD_REQUEST, body)
+        return
+    endpoint.clear_suspect(int(identity, 16))
+    request.answer(HTTPStatus.OK, b"cleared\n")
+
+
 def _answer_unknown(request: HttpRequest) -> None:
     request.answer(HTTPStatus.NOT_FOUND, b"no such page\n")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import owners, owning
-from dotterelgate_core.messages import Call
+from dotterelgate_core.messages import Call, format_identity
 from dotterelgate_core.routes import find_route
 
 if TYPE_CHECKING:
@@ -41,6 +41,17 @@
         "in_flight": len(state.calls.states),
         "peers": sorted(state.peers.listed),
         "servers": [_describe_server(each, now) for each in state.servers.states.values()],
+        "suspects": [
+            _describe_suspect(state, each, now) for each in state.suspects.list_suspected()
+        ],
+    }
+
+
+def _describe_suspect(state: DaemonState, identity: int, now: float) -> dict:
+    return {
+        "identity": format_identity(identity),
+        "ended": [run.name for run in state.suspects.suspects[identity].list_runs()],
+        "refused_seconds": max(0.0, state.suspects.find_refusal_end(identity) - now),
     }
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/http_server.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/http_server.py
@@ -124,6 +124,12 @@
         self.accepted = 0
         self._listener = streams.listen(address=address, accept=self._accept)
 
+    def stop(self) -> None:
+        """Stop listening and close all connections at once."""
+        self.streams.stop_listening(self._listener)
+        for connection in list(self.connections):
+            connection.close()
+
     def _accept(self, sock: socket.socket) -> None:
         self.accepted += 1
         self.connections.add(_Connection(server=self, sock=sock))
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -79,6 +79,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.suspects = Gauge(
+            "dotterelgate_suspect_requests",
+            "Requests under which backend servers ended, and those refused for it",
+            ["kind"],
+            registry=self.registry,
+        )
         self.control_bytes = Counter(
             "dotterelgate_control_bytes",
             "Bytes sent for control, by channel",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -24,6 +24,7 @@
 from dotterelgate_core.state import DaemonState, Limits
 from dotterelgate_core.store_control import make_store_pipeline
 from dotterelgate_core.store_reading import ReadingState, ReadStore
+from dotterelgate_core.suspecting import ServerEnded, SuspectCleared
 from dotterelgate_daemon.common_parts import IDLE_TICK_SECONDS, build_common_parts
 from dotterelgate_daemon.configuration_following import ConfigurationFollower
 from dotterelgate_daemon.directory import DaemonDirectory
@@ -38,6 +39,7 @@
 from dotterelgate_daemon.slot_exchange import SlotExchange
 from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.store_reader import StoreReader
+from dotterelgate_daemon.suspect_exchange import SuspectExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -144,6 +146,9 @@
         render_metrics=base.metrics.render,
         describe=lambda: describe_common(base.state, incarnation),
         explain=lambda method, host, path: explain_route(base.state, method, host, path),
+        clear_suspect=lambda identity: base.gateway.run(
+            SuspectCleared(now=time.monotonic(), identity=identity)
+        ),
     )
 
 
@@ -156,7 +161,7 @@
 
     :param decide: the control pipeline
     :param sampling: which backend servers this daemon samples
-    :param on_slot_freed: called when a service may have room for waiting requests
+    :param on_request_order: carries out an order that concerns requests
     """
 
     def __init__(
@@ -166,7 +171,7 @@
         base: CommonParts,
         prober: Prober,
         sampling: SamplingState,
-        on_slot_freed: Callable[[SlotFreed], None],
+        on_request_order: Callable[[Message], None],
     ) -> None:
         self.mesh: Mesh
         self.reader: StoreReader
@@ -179,7 +184,8 @@
             StoreRestored: lambda order: self.directory.check_later(),
             Probe: prober.probe,
             ConfigurationChanged: self._change_configuration,
-            SlotFreed: on_slot_freed,
+            SlotFreed: on_request_order,
+            ServerEnded: on_request_order,
             Decision: lambda decision: base.write_decision(decision, ""),
         }
 
@@ -227,6 +233,14 @@
         metrics.statements.labels(kind=kind).set_function(partial(count, states_it))
 
 
+def _watch_suspects(state: DaemonState, metrics: Metrics) -> None:
+    table = state.suspects
+    metrics.suspects.labels(kind="suspected").set_function(lambda: len(table.list_suspected()))
+    metrics.suspects.labels(kind="refused").set_function(
+        lambda: table.count_refused(time.monotonic())
+    )
+
+
 def _connect_control(
     settings: StoreDaemonSettings,
     calls: StoreCalls,
@@ -250,7 +264,7 @@
         base=base,
         prober=prober,
         sampling=sampling,
-        on_slot_freed=base.gateway.run,
+        on_request_order=base.gateway.run,
     )
     client = PlatformClient(
         address=settings.store,
@@ -262,6 +276,7 @@
         channel="store",
     )
     _watch_statements(state, base.metrics)
+    _watch_suspects(state, base.metrics)
     base.metrics.configuration_age.set_function(lambda: time.monotonic() - reading.current_at)
     control.mesh = mesh = Mesh(
         address=settings.peers,
@@ -294,9 +309,18 @@
     )
     exchange = SlotExchange(state=state, mesh=mesh, emit=base.gateway.run)
     base.gateway.add_sinks(exchange.sinks)
+    suspects = SuspectExchange(
+        state=state,
+        mesh=mesh,
+        timers=base.timers,
+        emit=base.gateway.run,
+        emit_control=control.run,
+    )
+    base.gateway.add_sinks(suspects.sinks)
 
     def deliver_message(message: Datagram) -> None:
         exchange.receive(message)
+        suspects.receive(message)
         entries.receive(message)
         configuration.receive(message)
 
