Tell a daemon that starts while the store is away which requests end servers

Cause: a daemon got the suspects in reply to its first heartbeats, which it sends to those that it finds in the store. Without the store it sends none.

Fix: whoever is asked for the configuration or the registry, or hears a daemon's new run for the first time, sends what it knows of suspects first.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -17,6 +17,13 @@
     And front-1 is started again
     Then a deadly write through front-1 is refused and ends no server
 
+  # A daemon that starts without the store greets nobody; it serves with what it requests of peers.
+  Scenario: A daemon that starts while the store is down knows what ends servers
+    Given the platform with 6 backend servers and 3 daemons
+    When a deadly write comes 4 times, 0.1 s apart, to each daemon in turn
+    And the store goes down and front-1 is killed and started again
+    Then a deadly write through front-1 is refused and ends no server
+
   Scenario: Servers that end by themselves beside many equal requests lead to no refusal
     Given the platform with 6 backend servers and 3 daemons
     When 12 callers send the same request without pause while 4 servers end, 0.4 s apart
--- a/features/steps/deadly_steps.py
+++ b/features/steps/deadly_steps.py
@@ -107,6 +107,7 @@
 
 @then("a deadly write through front-1 is refused and ends no server")
 def check_restarted(context):
+    context.platform.wait_ready("front-1")
     before = count_crashes(context)
     answer = send_deadly(context, "front-1")
     assert answer.status_code == 503 and answer.text.startswith(CODE), answer.text
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_border.datagrams import (
+    ConfigurationRequest,
     EndedRun,
     Heartbeat,
+    RegistryRequest,
     SuspectEntry,
     SuspectUpdate,
     encode_datagram,
@@ -60,6 +62,7 @@
         self._timers = timers
         self._emit = emit
         self._emit_control = emit_control
+        self._incarnations: dict[str, str] = {}
         self.sinks: dict[type, Callable[[Message], None]] = {
             AnnounceSuspects: self._announce,
             DoubtServer: self._doubt,
@@ -69,10 +72,21 @@
         """Handle a peer's message."""
         if isinstance(message, SuspectUpdate):
             self._emit(_read_update(message, time.monotonic()))
-        elif isinstance(message, Heartbeat) and message.wants_reply:
-            known = self._state.suspects.list_suspected()[-MAX_SENT:]
-            if known:
-                self._mesh.send_message(message.address, self._build_update(known))
+        elif isinstance(message, Heartbeat) and self._is_new_run(message):
+            self._send_known(message.address)
+        elif isinstance(message, (ConfigurationRequest, RegistryRequest)):
+            # A daemon that starts while the store is away serves with what peers send it.
+            self._send_known(message.address)
+
+    def _is_new_run(self, heartbeat: Heartbeat) -> bool:
+        known = self._incarnations.get(heartbeat.sender)
+        self._incarnations[heartbeat.sender] = heartbeat.incarnation
+        return known != heartbeat.incarnation or heartbeat.wants_reply
+
+    def _send_known(self, address: str) -> None:
+        known = self._state.suspects.list_suspected()[-MAX_SENT:]
+        if known:
+            self._mesh.send_message(address, self._build_update(known))
 
     def _announce(self, order: AnnounceSuspects) -> None:
         def send() -> None:
