--- a/packages/dotterelgate-core/src/dotterelgate_core/suspecting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/suspecting.py
@@ -121,7 +121,7 @@
         if isinstance(message, SuspectsReceived):
             return _merge(state, message)
         if isinstance(message, SuspectCleared):
-            return _clear(state, message.identity, message.now, "the operator")
+            return _clear(state, message.identity, message.now, "the operator cleared the request")
         return (message,)
 
     return gather
@@ -176,15 +176,13 @@
     call_state = state.calls.states.get(answered.call_id)
     if call_state is None or not answered.ran:
         return []
-    return _clear(state, call_state.call.identity, answered.now, answered.server)
+    sentence = f"{answered.server} answered the request, which is cleared"
+    return _clear(state, call_state.call.identity, answered.now, sentence)
 
 
-def _clear(state: DaemonState, identity: int, now: float, source: str) -> list[Message]:
+def _clear(state: DaemonState, identity: int, now: float, sentence: str) -> list[Message]:
     if not state.suspects.clear(identity, now):
         return []
-    sentence = f"the request is cleared; {source} answered it"
-    if source == "the operator":
-        sentence = "the request is cleared by the operator"
     return [_describe(identity, sentence), AnnounceSuspects(identities=(identity,))]
 
 
@@ -228,12 +226,10 @@
         names = ", ".join(run.name for run in state.suspects.suspects[identity].list_runs())
         sentence = f"the request is refused for {seconds:.0f} s; {names} ended while they had it"
         messages.append(_describe(identity, sentence))
-    waiting = [
-        each
-        for each in state.calls.states.values()
-        if refused and each.queued and each.call.identity in refused
-    ]
-    for call_state in waiting:
+    calls = list(state.calls.states.values()) if refused else []
+    for call_state in calls:
+        if not call_state.queued or call_state.call.identity not in refused:
+            continue
         call_state.queued = False
         messages += _refuse(state, call_state, now)
     return messages
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
@@ -91,6 +91,8 @@
     def _announce(self, order: AnnounceSuspects) -> None:
         def send() -> None:
             known = [each for each in order.identities if each in self._state.suspects.suspects]
+            if not known:
+                return
             addresses = [each.address for each in self._state.peers.listed.values()]
             self._mesh.send_to_all(addresses, encode_datagram(self._build_update(known)))
 
