Let the soak's store come back from a copy

Some of the losses of its history are restores now: the store is away, offsets go back, and operator and backend servers write theirs again. Draws of its own keep the schedules of seeds that failed before.

--- a/features/soaking/schedule.py
+++ b/features/soaking/schedule.py
@@ -29,6 +29,8 @@
 RECOVERY_SECONDS = 4.0
 # Share of the store's outages in which it answers no call instead of refusing each.
 SILENT_SHARE = 0.5
+# Share of the losses of the store's history in which it comes back from a copy instead.
+RESTORE_SHARE = 0.7
 # Share of the steps in which a backend server states something of itself as well, or another
 # writer leaves an odd entry.
 STATEMENT_SHARE = 0.15
@@ -63,6 +65,7 @@
         self._random = random.Random(self.seed)
         # Seeds that failed before keep their schedules.
         self._variants = random.Random(self.seed)
+        self._restores = random.Random(self.seed)
         self._is_recovering = False
         self._proxy = FaultProxy()
         self._platform = PlatformPath()
@@ -274,6 +277,9 @@
         if "down" in faults and self._variants.random() < SILENT_SHARE:
             faults = {"silent": True}
         seconds = self._random.uniform(0.3, 3.0)
+        if "forget" in faults and self._restores.random() < RESTORE_SHARE:
+            self._restore_store(seconds)
+            return
         self._record_fault("store", seconds, json.dumps(faults))
         if "forget" in faults:
             self._platform.ask_store("/forget", {})
@@ -281,6 +287,21 @@
         self._platform.ask_store("/faults", faults)
         self._schedule(seconds, lambda: self._platform.ask_store("/faults", {}))
 
+    def _restore_store(self, seconds: float) -> None:
+        """Let the store come back from a copy; all but the daemons write theirs again."""
+        age = self._restores.uniform(0.5, 10.0)
+        self._record_fault("store", seconds, f"away, back from a copy {age:.2f} s old")
+        self._platform.ask_store("/faults", {"down": True})
+
+        def bring_back() -> None:
+            self._platform.ask_store("/restore", {"seconds": age})
+            self._write_configuration()
+            for number in range(1, SERVERS + 1):
+                self._platform.register(f"i-{number}")
+            self._platform.ask_store("/faults", {})
+
+        self._schedule(seconds, bring_back)
+
     def _pause_stand_ins(self) -> None:
         seconds = self._random.uniform(0.1, 1.0)
         self._record_fault("all backend servers and the store", seconds, "paused")
@@ -323,6 +344,9 @@
     def _publish(self) -> None:
         self._version += 1
         self.notes.append(f"{time.monotonic():.2f} version {self._version} is written")
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
         kinds = {"/write/": "unsafe", "/read/": "safe", f"/only-{self._version}/": "safe"}
         document = {
             "config-version": self._version,
