Remind peers of the requests that are refused, so that one that was cut off learns

What callers would see: a daemon that was cut off for longer than the updates are repeated (1.5 s) does not know which requests are refused; each such daemon sends them on until two more servers have ended.

Cause: what is known was sent when it was learned, and to daemons that start; nothing told it to one that was there and heard none of it.

Fix: while a request is refused, or was cleared of late, each daemon sends what it knows to one peer every 0.48 s, so each hears it about twice a second.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -93,6 +93,17 @@
     When request X is answered at one of them after its refusal, and all send what they know again
     Then request X is suspected by none of them
 
+  # A daemon that was cut off while the others learned it would have let two more servers end.
+  Scenario: A daemon that missed all updates is reminded, of what is cleared too
+    Given a daemon with 5 backend servers and a peer that hears nothing of it
+    When a server ends while it has request X
+    And a server ends while it has request X
+    And the peer can be reached again and is reminded
+    Then the peer refuses request X
+    When 61 s go by at both and request X is answered at the daemon
+    And the peer is reminded again
+    Then request X is suspected by neither
+
   Scenario: What is known stays bounded
     Given a daemon with 5 backend servers
     When a server's connections break under 1000000 requests and 5000 of them end a server each
--- a/features/steps/deadly_steps.py
+++ b/features/steps/deadly_steps.py
@@ -342,6 +342,41 @@
     assert len(table.broken) <= 1 and len(table.checks) <= 1
 
 
+@given("a daemon with 5 backend servers and a peer that hears nothing of it")
+def start_with_peer(context):
+    start_daemon(context, 5)
+    context.daemon.receive_heartbeat("front-2")
+    context.peer = SuspectingDaemon(servers=5, name="front-2")
+
+
+@when("the peer can be reached again and is reminded")
+@when("the peer is reminded again")
+def remind(context):
+    context.peer.now = context.daemon.now
+    reminders = context.daemon.remind()
+    assert len(reminders) == 1, reminders
+    context.peer.receive_update(reminders[0])
+
+
+@then("the peer refuses request X")
+def check_peer(context):
+    refusal = find(context.peer.send("X")[2], messages.RefuseCall).refusal
+    assert refusal.code is codes.ENDS_SERVERS, refusal
+
+
+@when("61 s go by at both and request X is answered at the daemon")
+def clear_by_answer(context):
+    context.daemon.now += 61.0
+    call_id, server, _ = context.daemon.send("X")
+    context.daemon.answer(call_id, server)
+
+
+@then("request X is suspected by neither")
+def check_neither(context):
+    for daemon in (context.daemon, context.peer):
+        assert daemon.state.suspects.list_suspected() == []
+
+
 def read_identity(text):
     """Read a request like ``POST /a of user with body`` as a caller sends it; return its digest."""
     method, target, *rest = text.split()
--- a/features/subjects/deadly_requests.py
+++ b/features/subjects/deadly_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from types import SimpleNamespace
 
 from dotterelgate_core import codes, messages
@@ -15,6 +16,7 @@
     SuspectsReceived,
 )
 from dotterelgate_daemon import suspect_exchange
+from subjects.large_zone import FakeMesh
 from subjects.store_daemon import StoreDaemon, find
 
 IDENTITIES = {"X": 0xF00D, "Y": 0xBEEF}
@@ -29,7 +31,7 @@
         self.configure()
         self.lines = []
         self.announced = []
-        self.gone = set()
+        self.mesh = FakeMesh()
         for number in range(servers):
             self.register(f"i-{number}", offset=number)
 
@@ -100,16 +102,33 @@
 
     def build_update(self):
         """Build the update that this daemon sends to its peers, as its peer reads it."""
+        update = self._exchange(
+            lambda exchange: exchange._build_update(list(self.state.suspects.suspects))
+        )
+        return suspect_exchange._read_update(update, self.now)
+
+    def remind(self):
+        """Remind a peer; returns the updates that it reads."""
+        self.mesh.sent.clear()
+        self._exchange(lambda exchange: exchange.remind())
+        return [suspect_exchange._read_update(each, self.now) for each in self.mesh.sent]
+
+    def _exchange(self, call):
+        """Let the exchange do something, by the clock of this daemon."""
         exchange = suspect_exchange.SuspectExchange(
-            state=self.state, mesh=None, timers=None, emit=None, emit_control=None
+            state=self.state,
+            mesh=self.mesh,
+            timers=None,
+            emit=None,
+            emit_control=None,
+            random=random.Random(1),
         )
         fake_time = SimpleNamespace(monotonic=lambda: self.now)
         real_time, suspect_exchange.time = suspect_exchange.time, fake_time
         try:
-            update = exchange._build_update(list(self.state.suspects.suspects))
+            return call(exchange)
         finally:
             suspect_exchange.time = real_time
-        return suspect_exchange._read_update(update, self.now)
 
     def receive_update(self, received):
         """Receive a peer's update."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/suspects.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/suspects.py
@@ -129,9 +129,17 @@
         """List the identities of the requests that are suspected, those noted last at the end."""
         return [each for each, suspect in self.suspects.items() if suspect.list_runs()]
 
-    def count_refused(self, now: float) -> int:
-        """Count the requests that are refused."""
-        return sum(self.find_refusal_end(each) > now for each in self.suspects)
+    def list_refused(self, now: float) -> list[int]:
+        """List the identities of the requests that are refused."""
+        return [each for each in self.suspects if self.find_refusal_end(each) > now]
+
+    def list_current(self, now: float) -> list[int]:
+        """List the identities of the requests that are refused or were cleared of late."""
+        return [
+            identity
+            for identity, suspect in self.suspects.items()
+            if now - suspect.cleared_at < REFUSAL_SECONDS or self.find_refusal_end(identity) > now
+        ]
 
     def find_refusal_end(self, identity: int) -> float:
         """Return the monotonic second until which a request is refused."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -39,7 +39,7 @@
 from dotterelgate_daemon.slot_exchange import SlotExchange
 from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.store_reader import StoreReader
-from dotterelgate_daemon.suspect_exchange import SuspectExchange
+from dotterelgate_daemon.suspect_exchange import REMINDER_SECONDS, SuspectExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -237,7 +237,7 @@
     table = state.suspects
     metrics.suspects.labels(kind="suspected").set_function(lambda: len(table.list_suspected()))
     metrics.suspects.labels(kind="refused").set_function(
-        lambda: table.count_refused(time.monotonic())
+        lambda: len(table.list_refused(time.monotonic()))
     )
 
 
@@ -315,8 +315,10 @@
         timers=base.timers,
         emit=base.gateway.run,
         emit_control=control.run,
+        random=random.Random(),
     )
     base.gateway.add_sinks(suspects.sinks)
+    base.timers.subscribe(interval=REMINDER_SECONDS, call=suspects.remind)
 
     def deliver_message(message: Datagram) -> None:
         exchange.receive(message)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from dotterelgate_border.datagrams import Datagram
     from dotterelgate_core.pipes import Message
@@ -32,11 +33,14 @@
     from dotterelgate_daemon.mesh import Mesh
     from dotterelgate_daemon.timers import TimerService
 
-__all__ = ["SuspectExchange"]
+__all__ = ["REMINDER_SECONDS", "SuspectExchange"]
 
 MILLISECONDS = 1000
 # An update is sent again after these times, since datagrams may be lost.
 REPEAT_SECONDS = (0.1, 0.5, 1.5)
+# Each daemon reminds one peer this often, so each is reminded about twice a second: one that was
+# cut off knows what is refused before the platform counts it as in touch again, after 3 s.
+REMINDER_SECONDS = 0.48
 # A daemon that starts gets the newest suspects, which fit into one datagram.
 MAX_SENT = 64
 
@@ -46,6 +50,7 @@
 
     :param emit: runs a message through the request pipeline
     :param emit_control: runs a message through the control pipeline
+    :param random: chooses the peers that are reminded
     """
 
     def __init__(
@@ -56,12 +61,14 @@
         timers: TimerService,
         emit: Callable[[Message], None],
         emit_control: Callable[[Message], None],
+        random: Random,
     ) -> None:
         self._state = state
         self._mesh = mesh
         self._timers = timers
         self._emit = emit
         self._emit_control = emit_control
+        self._random = random
         self._incarnations: dict[str, str] = {}
         self.sinks: dict[type, Callable[[Message], None]] = {
             AnnounceSuspects: self._announce,
@@ -78,6 +85,14 @@
             # A daemon that starts while the store is away serves with what peers send it.
             self._send_known(message.address)
 
+    def remind(self) -> None:
+        """Send one peer the requests that are refused, since it may have missed the updates."""
+        current = self._state.suspects.list_current(time.monotonic())[-MAX_SENT:]
+        peers = list(self._state.peers.listed.values())
+        if current and peers:
+            peer = self._random.choice(peers)
+            self._mesh.send_message(peer.address, self._build_update(current))
+
     def _is_new_run(self, heartbeat: Heartbeat) -> bool:
         known = self._incarnations.get(heartbeat.sender)
         self._incarnations[heartbeat.sender] = heartbeat.incarnation
