--- a/features/steps/deadly_steps.py
+++ b/features/steps/deadly_steps.py
@@ -230,10 +230,10 @@
         if "1.2 s later" in what:
             daemon.now += 1.2
         is_silent = what in ("the servers answer a probe", "probes get no answer")
-        daemon_ends = daemon.probe(
+        ends = daemon.probe(
             server, answered=what == "the servers answer a probe", refused=not is_silent
         )
-        for each in daemon_ends:
+        for each in ends:
             daemon.note(daemon.run(each))
         if "leave" in what or "go" in what:
             daemon.register(server, offset=int(daemon.now * 1000), born=int(daemon.now * 1000))
--- a/features/subjects/deadly_requests.py
+++ b/features/subjects/deadly_requests.py
@@ -10,8 +10,8 @@
 from dotterelgate_core.control_messages import Probe, ProbeEnded
 from dotterelgate_core.suspecting import (
     AnnounceSuspects,
-    DoubtServer,
-    ServerDoubted,
+    CheckServer,
+    ServerCheckRequested,
     ServerEnded,
     SuspectsReceived,
 )
@@ -60,9 +60,9 @@
         return [order for each in ended for order in self.note(self.run(each))]
 
     def probe(self, server, *, answered, refused=False):
-        """Doubt a server and end the probe; returns what the request pipeline gets."""
-        doubted = ServerDoubted(now=self.now, wall=self.now, server=server)
-        if find(self.run_control(doubted), Probe) is None:
+        """Check a server by a probe that ends; returns what the request pipeline gets."""
+        requested = ServerCheckRequested(now=self.now, wall=self.now, server=server)
+        if find(self.run_control(requested), Probe) is None:
             return []
         probe_ended = ProbeEnded(
             now=self.now,
@@ -85,7 +85,7 @@
             self.state.calls.states[beside].server = server
             calls.append(beside)
         orders = [order for each in calls for order in self.break_connection(each, server)]
-        assert find(orders, DoubtServer) is not None, orders
+        assert find(orders, CheckServer) is not None, orders
         self.now += 0.003
         orders = self.end_server(server)
         # The next run of the server.
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -46,7 +46,7 @@
     ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
     ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
     ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
-    ``DoubtServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
+    ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -12,7 +12,7 @@
 from dotterelgate_core.sampling import make_sampling_filter
 from dotterelgate_core.sharing import make_sharing_filter
 from dotterelgate_core.store_reading import make_reading_filter
-from dotterelgate_core.suspecting import make_doubt_filter
+from dotterelgate_core.suspecting import make_check_filter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -48,7 +48,7 @@
 
     It handles ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
     ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
-    ``LoadsReceived``, ``HeartbeatReceived``, ``ServerDoubted``, ``ProbeEnded`` and
+    ``LoadsReceived``, ``HeartbeatReceived``, ``ServerCheckRequested``, ``ProbeEnded`` and
     ``ControlTicked``. It emits ``ReadStore``, ``StoreRestored``, ``Probe``, ``ServerEnded``,
     ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
     """
@@ -57,7 +57,7 @@
         make_reading_filter(state, registry, reading),
         make_registry_filter(state, registry),
         make_sharing_filter(state),
-        make_doubt_filter(state),
+        make_check_filter(state),
         make_sampling_filter(state, sampling),
         _drop_ticks,
     )
--- a/packages/dotterelgate-core/src/dotterelgate_core/suspecting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/suspecting.py
@@ -29,28 +29,28 @@
 
 __all__ = [
     "AnnounceSuspects",
-    "DoubtServer",
+    "CheckServer",
     "PeerSuspect",
-    "ServerDoubted",
+    "ServerCheckRequested",
     "ServerEnded",
     "SuspectCleared",
     "SuspectsReceived",
-    "make_doubt_filter",
+    "make_check_filter",
     "make_evidence_filter",
     "make_suspect_filter",
 ]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class DoubtServer:
-    """Order to find out whether a backend server ended, since its connection broke."""
+class CheckServer:
+    """Order to check whether a backend server ended, since a connection to it broke."""
 
     server: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ServerDoubted:
-    """A connection to a backend server broke while it had a request.
+class ServerCheckRequested:
+    """A connection broke on which a backend server had a request; it may have ended.
 
     :param wall: wall-clock second
     """
@@ -138,17 +138,17 @@
     return refuse
 
 
-def make_doubt_filter(state: DaemonState) -> Filter:
-    """Build the filter of the control pipeline that finds out whether a doubted server ended."""
+def make_check_filter(state: DaemonState) -> Filter:
+    """Build the filter of the control pipeline that probes servers which may have ended."""
 
-    def find_out(message: Message) -> Iterable[Message]:
-        if isinstance(message, ServerDoubted):
+    def check(message: Message) -> Iterable[Message]:
+        if isinstance(message, ServerCheckRequested):
             return _probe(state, message.server, message.wall)
         if isinstance(message, ProbeEnded):
-            return [*_judge(state, message), message]
+            return [*_apply_check(state, message), message]
         return (message,)
 
-    return find_out
+    return check
 
 
 def _find_run(server: ServerState) -> ServerRun:
@@ -167,9 +167,9 @@
     if not failed.sent or not identity or failed.refusal.code is not codes.ANSWER_LOST:
         return []
     run = _find_run(server)
-    is_doubted = state.suspects.is_doubted(run, failed.now)
+    has_broken = state.suspects.has_broken(run, failed.now)
     state.suspects.note_broken(run, identity, failed.now)
-    return [] if is_doubted else [DoubtServer(server=failed.server)]
+    return [] if has_broken else [CheckServer(server=failed.server)]
 
 
 def _note_answer(state: DaemonState, answered: ServerAnswered) -> list[Message]:
@@ -258,9 +258,9 @@
     return [] if probe is None else [probe]
 
 
-def _judge(state: DaemonState, ended: ProbeEnded) -> list[Message]:
+def _apply_check(state: DaemonState, ended: ProbeEnded) -> list[Message]:
     server = state.servers.states.get(ended.server)
-    if server is None or not state.suspects.is_doubted(_find_run(server), ended.now):
+    if server is None or not state.suspects.has_broken(_find_run(server), ended.now):
         return []
     if ended.refused:
         return [ServerEnded(now=ended.now, server=ended.server)]
--- a/packages/dotterelgate-core/src/dotterelgate_core/suspects.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/suspects.py
@@ -6,15 +6,15 @@
 
 __all__ = ["ServerRun", "Suspect", "SuspectTable"]
 
-# Two servers that ended under one request and under no other one are no chance: requests beside
-# it seldom share its second server. Where some did, a third has to end.
+# Two servers that end under the same request, and under no other, rarely do so by chance. Where
+# another request was at both, a third server has to end.
 ENDED_ALONE = 2
 ENDED_TOGETHER = 3
 # The first refusal ends after this time, each later one after twice as long: a release of the
 # servers may mend it, and each end of a refusal may cost one more server.
 REFUSAL_SECONDS = 60.0
 MAX_REFUSAL_SECONDS = 3600.0
-# An ended process refuses connections at once; later refusals have other causes.
+# A process that has ended refuses connections at once; a later refusal has another cause.
 BREAK_SECONDS = 1.0
 MAX_SUSPECTS = 1024
 MAX_RUNS = 16
@@ -72,7 +72,7 @@
         if len(noted) < MAX_BROKEN:
             noted.append((now, identity))
 
-    def is_doubted(self, run: ServerRun, now: float) -> bool:
+    def has_broken(self, run: ServerRun, now: float) -> bool:
         """Return whether a connection to a server broke just now, so that it may have ended."""
         return any(now - at < BREAK_SECONDS for at, _ in self.broken.get(run, ()))
 
@@ -147,12 +147,12 @@
         runs = suspect.list_runs() if suspect is not None else []
         if suspect is None or len(runs) < ENDED_ALONE:
             return float("-inf")
-        if len(runs) < ENDED_TOGETHER and self._has_company(identity, runs):
+        if len(runs) < ENDED_TOGETHER and self._is_shared(identity, runs):
             return float("-inf")
         seconds = REFUSAL_SECONDS * 2 ** (len(runs) - ENDED_ALONE)
         return max(suspect.ended[run] for run in runs) + min(seconds, MAX_REFUSAL_SECONDS)
 
-    def _has_company(self, identity: int, runs: list[ServerRun]) -> bool:
+    def _is_shared(self, identity: int, runs: list[ServerRun]) -> bool:
         return any(
             other != identity and set(runs) <= set(suspect.list_runs())
             for other, suspect in self.suspects.items()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -196,7 +196,7 @@
 
     def _apply_page(self, page: Listing, era: int) -> None:
         self._keys.update(record.key for record in page.records)
-        self._on_records(_date(page.records, era))
+        self._on_records(_assign_era(page.records, era))
 
     def _receive_tail(self, start: Position, answer: PlatformAnswer, outcome: ReadOutcome) -> None:
         era = self._access.read_era(answer)
@@ -216,12 +216,12 @@
         outcome.on_done()
 
     def _apply_tail(self, tail: Tail, era: int) -> None:
-        self._on_records(_date(tail.records, era))
+        self._on_records(_assign_era(tail.records, era))
         end = Position(era=era, offset=tail.end)
         self.position = max(self.position or end, end)
 
 
-def _date(records: list[StoreRecord], era: int) -> list[StoreRecord]:
+def _assign_era(records: list[StoreRecord], era: int) -> list[StoreRecord]:
     return [replace(record, era=era) for record in records]
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/suspect_exchange.py
@@ -16,9 +16,9 @@
 )
 from dotterelgate_core.suspecting import (
     AnnounceSuspects,
-    DoubtServer,
+    CheckServer,
     PeerSuspect,
-    ServerDoubted,
+    ServerCheckRequested,
     SuspectsReceived,
 )
 from dotterelgate_core.suspects import ServerRun
@@ -72,7 +72,7 @@
         self._incarnations: dict[str, str] = {}
         self.sinks: dict[type, Callable[[Message], None]] = {
             AnnounceSuspects: self._announce,
-            DoubtServer: self._doubt,
+            CheckServer: self._check,
         }
 
     def receive(self, message: Datagram) -> None:
@@ -115,9 +115,11 @@
         for delay in REPEAT_SECONDS:
             self._timers.call_after(delay=delay, call=send)
 
-    def _doubt(self, order: DoubtServer) -> None:
+    def _check(self, order: CheckServer) -> None:
         def emit() -> None:
-            message = ServerDoubted(now=time.monotonic(), wall=time.time(), server=order.server)
+            message = ServerCheckRequested(
+                now=time.monotonic(), wall=time.time(), server=order.server
+            )
             self._emit_control(message)
 
         # The probe may end at once, which runs the request pipeline.
