Serve routes of large answers and pass on the caller's organisation

Cause: one route of a type that the decoder did not know made the whole configuration unreadable, so no daemon of the two new deployments ever became ready; credentials travelled on to backend servers. Credentials are looked up by digest, answered 401 where nobody holds them, and never sent on; the backend server gets the organisation's name.

--- /dev/null
+++ b/features/organisations.feature
@@ -0,0 +1,37 @@
+Feature: Callers belong to organisations by their credentials
+
+  # One route type that was not known made the whole configuration unreadable: no daemon became
+  # ready, and every request was refused.
+  Scenario Outline: What cannot be used in a configuration takes only that out of service
+    Given a stored configuration with <what>
+    Then a request to <path> with the credential <credential> is <outcome>
+    And <problems> problems are named
+
+    Examples: configurations
+      | what                              | path         | credential | outcome         | problems |
+      | nothing unusual                   | /orders/1    | key-one    | routed for one  | 0        |
+      | nothing unusual                   | /packs/1     | key-two    | routed for two  | 0        |
+      | nothing unusual                   | /orders/1    | none       | unauthenticated | 0        |
+      | nothing unusual                   | /orders/1    | other      | unauthenticated | 0        |
+      | nothing unusual                   | /open/1      | none       | routed for none | 0        |
+      | an unknown route type             | /packs/1     | key-one    | out_of_service  | 1        |
+      | an unknown route type             | /orders/1    | key-one    | routed for one  | 1        |
+      | a route to an unknown service     | /packs/1     | key-one    | out_of_service  | 1        |
+      | a service without a name          | /orders/1    | key-one    | routed for one  | 2        |
+      | a service without a name          | /packs/1     | key-one    | out_of_service  | 2        |
+      | a route that names no host        | /orders/1    | key-one    | routed for one  | 1        |
+      | a negative quota                  | /orders/1    | key-two    | out_of_service  | 1        |
+      | a negative quota                  | /orders/1    | key-one    | routed for one  | 1        |
+      | a quota too large                 | /orders/1    | key-two    | out_of_service  | 1        |
+      | an organisation without keys      | /orders/1    | key-one    | routed for one  | 0        |
+      | keys that are not a list          | /orders/1    | key-one    | routed for one  | 1        |
+      | a key of two organisations        | /orders/1    | key-one    | routed for one  | 1        |
+      | a rank out of range               | /orders/1    | key-two    | routed for two  | 0        |
+
+  Scenario: A backend server gets the caller's organisation and not its credential
+    Given the platform with organisations and 2 daemons
+    When a request with the credential key-one, which claims to be of two, goes through front-1
+    Then the backend server was sent the organisation one and no credential
+    When requests with odd credentials go through front-1
+    Then each is answered 401 and none ran
+    And no credential stands in a log, in the metrics or in the status of a daemon
--- /dev/null
+++ b/features/steps/organisation_steps.py
@@ -0,0 +1,88 @@
+"""Steps on callers' organisations."""
+
+from __future__ import annotations
+
+import httpx
+from behave import given, then, when
+from subjects.organisations import CHANGES, IdentifiedCalls, build_document
+
+from dotterelgate_core.messages import Decision
+
+ORGANISATIONS = [{"name": "one", "api-keys": ["key-one"]}, {"name": "two", "api-keys": ["key-two"]}]
+ODD_CREDENTIALS = {
+    "none": {},
+    "empty": {"credential": ""},
+    "unknown": {"credential": "key-three"},
+    "longer": {"credential": "key-one1"},
+    "odd bytes": {"credential": "key~{}| \t;"},
+    "two": {"credential": "key-one, key-two"},
+    "long": {"credential": "k" * 12_000},
+}
+
+
+@given("a stored configuration with {what}")
+def read(context, what):
+    document = build_document()
+    CHANGES[what](document)
+    context.calls = IdentifiedCalls()
+    context.calls.read_document(document)
+
+
+@then("a request to {path} with the credential {credential} is {outcome}")
+def check_outcome(context, path, credential, outcome):
+    assert context.calls.send(path, credential) == outcome
+
+
+@then("{count:d} problems are named")
+def check_problems(context, count):
+    lines = [each for each in context.calls.lines if isinstance(each, Decision)]
+    named = [each for each in lines if each.sentence.startswith("out of service: ")]
+    assert len(context.calls.problems) == len(named) == count, context.calls.problems
+
+
+@given("the platform with organisations and 2 daemons")
+def start(context):
+    context.execute_steps("Given the platform with 2 backend servers and no configuration")
+    context.platform.publish(10, "/orders/", tenants=ORGANISATIONS)
+    for name in ("front-1", "front-2"):
+        context.platform.start_daemon(name)
+    for name in ("front-1", "front-2"):
+        context.platform.wait_ready(name)
+
+
+@when("a request with the credential key-one, which claims to be of two, goes through front-1")
+def send(context):
+    more = {"credential": "key-one", "tenant-id": "two"}
+    answer = context.platform.request("front-1", "/orders/a", "known", more)
+    assert answer.status_code == 200, answer
+
+
+@then("the backend server was sent the organisation one and no credential")
+def check_sent(context):
+    assert context.platform.read_callers()["known"] == ["one", None]
+
+
+@when("requests with odd credentials go through front-1")
+def send_odd(context):
+    context.answers = {
+        name: context.platform.request("front-1", "/orders/a", name, more).status_code
+        for name, more in ODD_CREDENTIALS.items()
+    }
+
+
+@then("each is answered 401 and none ran")
+def check_refused(context):
+    assert set(context.answers.values()) == {401}, context.answers
+    ran = context.platform.read_callers()
+    assert not set(ODD_CREDENTIALS) & set(ran), ran
+
+
+@then("no credential stands in a log, in the metrics or in the status of a daemon")
+def check_hidden(context):
+    for name, settings in context.platform.settings.items():
+        texts = [
+            context.platform.daemons[name].log_path.read_text(encoding="utf-8"),
+            httpx.get(f"http://{settings['metrics']}/metrics").text,
+            httpx.get(f"http://{settings['endpoint']}/status").text,
+        ]
+        assert not any("key-" in text for text in texts), name
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -186,6 +186,7 @@
             fence=call_state.fence if call_state.fence is not None else routed.call.fence,
             attempt=call_state.attempts,
             idempotent=routed.route.idempotent,
+            organisation=call_state.organisation.name if call_state.organisation else "",
         ),
         Decision(
             part="binding",
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from dotterelgate_core.configuration import Organisation
     from dotterelgate_core.messages import Call, CallRouted
 
 __all__ = ["CALLER_NETWORK_SECONDS", "CallState", "CallTable"]
@@ -41,6 +42,7 @@
     :param may_have_run: whether an attempt ran, or may have
     :param failed_owners: number of owners passed over after a slot request
     :param requester: daemon of the zone that has the call and requests a slot
+    :param organisation: the caller's organisation, if its credential is known
     """
 
     routed: CallRouted
@@ -63,6 +65,7 @@
     may_have_run: bool = False
     requester: str | None = None
     failed_owners: int = 0
+    organisation: Organisation | None = None
 
     def compute_wait_end(self, share: float) -> float:
         """Compute until when it may wait for a better backend server.
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -93,6 +93,12 @@
 STALE = ResultCode(
     112, "stale", 503, _NOT_RUN, "The request may have waited unread while the daemon was paused."
 )
+UNAUTHENTICATED = ResultCode(
+    113, "unauthenticated", 401, _NOT_RUN, "The credential is missing or belongs to nobody."
+)
+OUT_OF_SERVICE = ResultCode(
+    114, "out_of_service", 503, _NOT_RUN, "The configuration of its route cannot be used."
+)
 DEADLINE_PASSED = ResultCode(
     200, "deadline_passed", 504, _NOT_RUN, "The time limit passed before dispatch."
 )
--- a/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
@@ -12,6 +12,7 @@
     "CallerLimits",
     "Configuration",
     "ConfigurationState",
+    "Organisation",
     "Priority",
     "Route",
     "Service",
@@ -77,6 +78,9 @@
         for the daemon's own limit
     :param target: latency in seconds up to which an answer is worth most, if the operator
         sets one
+    :param is_bulk: whether its answers are large
+    :param is_exempt: whether callers need no credential
+    :param problem: why it is out of service, empty for a route that is in service
     """
 
     prefix: str
@@ -90,6 +94,9 @@
     split: tuple[SplitPart, ...] = ()
     attempts: int | None = None
     target: float | None = None
+    is_bulk: bool = False
+    is_exempt: bool = False
+    problem: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,6 +130,25 @@
     connections: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Organisation:
+    """An organisation whose callers are known by credentials.
+
+    :param credentials: digests of its credentials
+    :param priority: order among waiting requests, before that of the route; lower goes first
+    :param rate: requests a second that it may send through all daemons, 0 for no limit
+    :param burst: requests that it may send at once beside that rate
+    :param problem: why it is out of service, empty for one that is in service
+    """
+
+    name: str
+    credentials: frozenset[bytes]
+    priority: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
+    problem: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerLimits:
     """Size and time limits on callers' requests.
@@ -147,12 +173,16 @@
     :param revision: number of configurations accepted up to and including this one
     :param services: all services
     :param limits: limits on callers, ``None`` for those of the daemon's settings
+    :param organisations: organisations of callers, ``None`` where callers need no credential
+    :param problems: what of it is out of service since it cannot be used, with the reasons
     """
 
     id: str
     revision: int
     services: tuple[Service, ...]
     limits: CallerLimits | None = None
+    organisations: tuple[Organisation, ...] | None = None
+    problems: tuple[str, ...] = ()
 
 
 @dataclass(kw_only=True, slots=True)
@@ -188,10 +218,13 @@
 
     :param chain: publications as read from the log
     :param current: configuration in force, if any
+    :param organisations: organisations by the digest of each credential, ``None`` where callers
+        need none
     """
 
     chain: Chain = field(default_factory=Chain)
     current: Configuration | None = None
+    organisations: dict[bytes, Organisation] | None = None
     routes: RouteIndex = field(default_factory=RouteIndex)
     _services: dict[str, Service] = field(default_factory=dict)
 
@@ -239,4 +272,13 @@
         self.current = configuration
         self._services = {service.name: service for service in configuration.services}
         self.routes = RouteIndex.build(configuration.services)
+        self.organisations = _index_organisations(configuration.organisations)
         return True
+
+
+def _index_organisations(
+    organisations: tuple[Organisation, ...] | None,
+) -> dict[bytes, Organisation] | None:
+    if organisations is None:
+        return None
+    return {digest: each for each in organisations for digest in each.credentials}
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -14,6 +14,7 @@
 )
 from dotterelgate_core.holding import make_holding_filter, make_key_settling_filter
 from dotterelgate_core.observing import make_observing_filter
+from dotterelgate_core.organisations.identifying import make_identity_filter
 from dotterelgate_core.owning import make_owning_filter
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.policies import make_policies
@@ -66,6 +67,7 @@
         *evidence_filters,
         make_observing_filter(state),
         make_settling_filter(state),
+        make_identity_filter(state),
         *suspect_filters,
         *key_filters,
         make_granting_filter(state, granting),
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -71,6 +71,7 @@
     :param fence: wall-clock second after which it must not start, if its key is held
     :param request_id: the caller's own id of this request, for the log
     :param identity: digest that is the same whenever the same request comes again, 0 for none
+    :param credential: digest of the caller's credential, empty for none
     """
 
     id: int
@@ -88,6 +89,7 @@
     fence: float | None = None
     request_id: str = ""
     identity: int = 0
+    credential: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -254,6 +256,7 @@
     :param deadline: monotonic second at which the answer is given up
     :param fence: wall-clock second after which the server must not start it
     :param attempt: 1 for the first dispatch of the call
+    :param organisation: name of the caller's organisation, empty for none
     """
 
     call_id: int
@@ -262,6 +265,7 @@
     fence: float | None
     attempt: int
     idempotent: bool
+    organisation: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations of callers: their credentials and what follows from them."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/routes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/routes.py
@@ -49,6 +49,8 @@
     if found is None:
         return _refuse(call, codes.NO_ROUTE, f"no route for {call.method} {call.path}")
     service, route = found
+    if route.problem:
+        return _refuse(call, codes.OUT_OF_SERVICE, f"route {route.name}: {route.problem}")
     if call.unread_wait > UNREAD_LIMIT_SECONDS and not route.idempotent:
         return _refuse(call, codes.STALE, f"may have waited {call.unread_wait:.1f} s unread")
     timeout = route.timeout if call.timeout is None else min(call.timeout, route.timeout)
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -26,6 +26,8 @@
 
 __all__ = ["ConfigurationStored", "make_store_pipeline"]
 
+PROBLEM_LINES = 20
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationStored:
@@ -84,5 +86,14 @@
     return [
         ConfigurationChanged(now=stored.now, configuration=configuration, source=stored.source),
         Decision(part="control", sentence=sentence),
+        *_describe_problems(configuration),
         *(SlotFreed(now=stored.now, service=service.name) for service in configuration.services),
     ]
+
+
+def _describe_problems(configuration: Configuration) -> list[Decision]:
+    problems = configuration.problems
+    sentences = [f"out of service: {problem}" for problem in problems[:PROBLEM_LINES]]
+    if len(problems) > PROBLEM_LINES:
+        sentences.append(f"out of service: {len(problems) - PROBLEM_LINES} more")
+    return [Decision(part="control", sentence=sentence) for sentence in sentences]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -262,7 +262,10 @@
             retried=terms.retried,
             unread_wait=incoming.unread_wait,
             request_id=terms.request_id,
-            identity=compute_identity(head, incoming.body, self._server.body_limit),
+            identity=compute_identity(
+                head, incoming.body, self._server.body_limit, terms.credential
+            ),
+            credential=terms.credential,
         )
 
     def _list_headers(self, head: RequestHead) -> HeaderList:
@@ -381,18 +384,22 @@
     return digest.intdigest()
 
 
-def compute_identity(head: RequestHead, body: bytearray, limit: int) -> int:
+def compute_identity(
+    head: RequestHead, body: bytearray, limit: int, credential: bytes = b""
+) -> int:
     """Compute a digest that is the same whenever the same request comes again.
 
     It covers method, host, target, credentials and body; of a body that is streamed, since it has
     more than ``limit`` bytes, its stated length and its first bytes.
+
+    :param credential: digest of the credential that names the caller's organisation
     """
     length = len(body) if len(body) <= limit else head.length or 0
     parts = (
         head.method.encode("latin-1"),
         find_header(head.headers, b"host") or b"",
         head.target.encode("latin-1"),
-        find_header(head.headers, b"authorization") or b"",
+        find_header(head.headers, b"authorization") or credential,
         b"%d" % length,
         bytes(body[:limit]),
     )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/dialect.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/dialect.py
@@ -29,12 +29,14 @@
     :param key: idempotency key, if the caller sent one
     :param retried: whether the request is already marked as a further attempt
     :param request_id: the caller's own id of the request, if it sent one
+    :param credential: digest of the caller's credential, empty for none
     """
 
     timeout: float | None = None
     key: str | None = None
     retried: bool = False
     request_id: str = ""
+    credential: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,12 +63,14 @@
     :param remaining: seconds until the daemon stops waiting for the answer
     :param fence: wall-clock second after which it must not start, if any
     :param attempt: 1 for the first dispatch
+    :param organisation: name of the caller's organisation, empty for none
     """
 
     server: BackendServer
     remaining: float
     fence: float | None
     attempt: int
+    organisation: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -227,6 +227,7 @@
             remaining=max(0.0, order.deadline - time.monotonic()),
             fence=order.fence,
             attempt=attempt,
+            organisation=order.organisation,
         )
         headers.extend(self.dialect.write_dispatch(terms))
         if pending.length is None:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -63,6 +63,11 @@
             "Revision of the configuration in force",
             registry=self.registry,
         )
+        self.configuration_problems = Gauge(
+            "dotterelgate_configuration_problems",
+            "Routes, services and organisations of the configuration that cannot be used",
+            registry=self.registry,
+        )
         self.configuration_age = Gauge(
             "dotterelgate_configuration_age_seconds",
             "Seconds since the configuration was known to be the newest in the store",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -217,6 +217,7 @@
 
     def _change_configuration(self, change: ConfigurationChanged) -> None:
         self._base.metrics.revision.set(change.configuration.revision)
+        self._base.metrics.configuration_problems.set(len(change.configuration.problems))
 
 
 def _watch_statements(state: DaemonState, metrics: Metrics) -> None:
