--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -187,6 +187,9 @@
     remaining: float
     attempt: int
     avoided: list[str]
+    organisation: str = ""
+    organisation_priority: int = 0
+    only_free: bool = False
 
 
 class SlotGrantDatagram(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=7):
--- a/packages/dotterelgate-core/src/dotterelgate_core/slots.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/slots.py
@@ -36,6 +36,9 @@
     :param remaining: seconds until its time limit
     :param attempt: dispatches so far
     :param avoided: backend servers that failed it
+    :param organisation: name of the caller's organisation, empty for none
+    :param organisation_priority: priority of that organisation
+    :param only_free: whether to deny it unless a slot is free now
     """
 
     call_id: int
@@ -47,6 +50,9 @@
     remaining: float
     attempt: int = 0
     avoided: tuple[str, ...] = ()
+    organisation: str = ""
+    organisation_priority: int = 0
+    only_free: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/slot_exchange.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/slot_exchange.py
@@ -81,6 +81,9 @@
             remaining=request.remaining,
             attempt=request.attempt,
             avoided=list(request.avoided),
+            organisation=request.organisation,
+            organisation_priority=request.organisation_priority,
+            only_free=request.only_free,
         )
         self._send(order.owner, datagram)
 
@@ -138,6 +141,9 @@
         remaining=message.remaining,
         attempt=message.attempt,
         avoided=tuple(message.avoided),
+        organisation=message.organisation,
+        organisation_priority=message.organisation_priority,
+        only_free=message.only_free,
     )
     return slots.SlotRequested(now=now, wall=time.time(), requester=message.sender, request=request)
 
