Keep downloads in their zone while that serves their callers in time

Cause: answers of downloads were most of the bytes between zones on the new deployments, since a server of another zone was preferred as soon as those of the own zone were slower by half or full.

--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -53,7 +53,7 @@
     def configure(
         self, revision=1, *, split=(), services=("s",), attempts=2, target=0.2, timeout=0.5
     ):
-        """Put a configuration in force, with a read, a write and a split route."""
+        """Put a configuration in force, with a read, a write, a bulk and a split route."""
         routes = (
             Route(
                 prefix="/read/",
@@ -63,6 +63,7 @@
                 attempts=attempts,
             ),
             Route(prefix="/write/", idempotent=False, timeout=0.5, target=target),
+            Route(prefix="/bulk/", idempotent=True, timeout=timeout, target=target, is_bulk=True),
             Route(
                 prefix="/split/",
                 name="split",
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.downloads.placement import keep_in_zone
 from dotterelgate_core.limiting import has_allowance
 from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
 from dotterelgate_core.slots import GrantSlot, SlotGrant
@@ -62,6 +63,7 @@
     policy = policies[call_state.routed.service.policy]
     allowed = [each for each in pool if has_allowance(state, each, freed.now)]
     candidates = _select_candidates(allowed, call_state, freed.now, late=policy.late)
+    candidates = keep_in_zone(candidates, allowed, call_state, freed.now, zone=state.zone)
     if not candidates:
         return []
     chosen = policy.choose(candidates, call_state, freed.now)
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/downloads/__init__.py
@@ -0,0 +1,1 @@
+"""Requests with large answers: where their answers are sent from."""
