Split the modules of callers' connections and of pools by responsibility

Accepting connections stays in callers.py; one connection's requests are in caller_connections.py, digests of requests in identities.py, pools of connections to servers in pools.py, and the state of a call in progress in pending_calls.py. No behaviour changes.

--- a/features/subjects/exchange.py
+++ b/features/subjects/exchange.py
@@ -4,7 +4,8 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_daemon.exchanges import Exchange, PoolTable
+from dotterelgate_daemon.exchanges import Exchange
+from dotterelgate_daemon.pools import PoolTable
 
 HEAD = b"POST /orders/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
 BODY = b"body"
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -0,0 +1,325 @@
+"""One caller's connection; its requests are answered one at a time."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.messages import Call
+from dotterelgate_daemon.codec import (
+    CONTINUE,
+    LAST_CHUNK,
+    RequestReader,
+    encode_answer_head,
+    encode_chunk,
+    find_header,
+)
+from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
+from dotterelgate_daemon.pending_calls import PendingCall
+from dotterelgate_daemon.replies import Reply
+
+if TYPE_CHECKING:
+    import socket
+
+    from dotterelgate_core.codes import ResultCode
+    from dotterelgate_daemon.codec import HeaderList, RequestHead
+    from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.replies import AnswerStart, StoredAnswer
+    from dotterelgate_daemon.streams import StreamService
+    from dotterelgate_daemon.timers import PauseDetector
+
+__all__ = ["CallerConnection", "ConnectionContext"]
+
+MAX_PIPELINED_REQUESTS = 8
+# A request sent on a connection that was accepted or answered just now may not have
+# arrived yet; closing earlier would cut it off.
+TRANSIT_SECONDS = 0.3
+
+
+@dataclass(kw_only=True)
+class ConnectionContext:
+    """What all connections of callers share.
+
+    :param head_limit: largest request head, in bytes
+    :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
+    :param pause_detector: measures how long a request may have waited unread
+    :param is_stopping: whether connections close after the answer in progress
+    :param connections: the open connections
+    """
+
+    streams: StreamService
+    gateway: Gateway
+    head_limit: int
+    body_limit: int
+    pause_detector: PauseDetector
+    is_stopping: bool = False
+    connections: set[CallerConnection] = field(default_factory=set)
+
+
+@dataclass(kw_only=True)
+class _IncomingRequest:
+    """A request that may still be arriving."""
+
+    head: RequestHead
+    body: bytearray = field(default_factory=bytearray)
+    is_complete: bool = False
+    unread_wait: float = 0.0
+    pending: PendingCall | None = None
+
+
+class CallerConnection:
+    """One caller's connection."""
+
+    def __init__(self, *, context: ConnectionContext, sock: socket.socket) -> None:
+        self._context = context
+        self._stream = context.streams.adopt(
+            sock=sock, receive=self._receive, lost=self._note_disconnect
+        )
+        self._stream.drained = self._resume_answer
+        self._waiting: deque[_IncomingRequest] = deque()
+        self._arriving: _IncomingRequest | None = None
+        self._current: _IncomingRequest | None = None
+        self._refusal: Refusal | None = None
+        self._chunked = False
+        self._unread_wait = 0.0
+        self.idle_since = time.monotonic()
+        self._reader = RequestReader(
+            head_limit=context.head_limit,
+            begin=self._begin,
+            body=self._receive_body,
+            end=self._end_body,
+            refuse=self._refuse_invalid,
+        )
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is in progress or may be in transit."""
+        if time.monotonic() - self.idle_since < TRANSIT_SECONDS:
+            return
+        if self._current is None and self._arriving is None:
+            self._stream.close_when_sent()
+            self._context.connections.discard(self)
+
+    def _receive(self, data: bytes) -> None:
+        self._unread_wait = self._context.pause_detector.measure()
+        self._reader.feed(data)
+        self._pause_if_full()
+
+    def _note_disconnect(self) -> None:
+        self._context.connections.discard(self)
+        current, self._current = self._current, None
+        self._waiting.clear()
+        if current is not None and current.pending is not None:
+            self._context.gateway.note_disconnect(current.pending.call.id)
+
+    def _begin(self, head: RequestHead) -> None:
+        self._arriving = _IncomingRequest(head=head, unread_wait=self._unread_wait)
+        self._waiting.append(self._arriving)
+        if head.expects_continue and len(self._waiting) == 1 and self._current is None:
+            self._stream.write(CONTINUE)
+
+    def _receive_body(self, part: bytes) -> None:
+        arriving = self._arriving
+        assert arriving is not None
+        if arriving.pending is not None:
+            self._context.gateway.add_body(arriving.pending, part)
+            return
+        arriving.body += part
+        if len(arriving.body) > self._context.body_limit:
+            self._start_next()
+
+    def _end_body(self) -> None:
+        arriving, self._arriving = self._arriving, None
+        assert arriving is not None
+        arriving.is_complete = True
+        if arriving.pending is not None:
+            self._context.gateway.end_body(arriving.pending)
+        self._start_next()
+
+    def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
+        self._refusal = Refusal(code, reason)
+        arriving = self._arriving
+        if arriving is not None and arriving.pending is not None:
+            self._context.gateway.note_disconnect(arriving.pending.call.id)
+            self._stream.close()
+            self._context.connections.discard(self)
+            return
+        if arriving is not None and arriving in self._waiting:
+            self._waiting.remove(arriving)
+        self._start_next()
+
+    def _start_next(self) -> None:
+        if self._current is not None:
+            return
+        if not self._waiting:
+            self._answer_refusal()
+            return
+        incoming = self._waiting[0]
+        streamed = not incoming.is_complete
+        if streamed and len(incoming.body) <= self._context.body_limit:
+            return
+        self._waiting.popleft()
+        self._current = incoming
+        self._submit(incoming, streamed=streamed)
+
+    def _answer_refusal(self) -> None:
+        if self._refusal is None:
+            return
+        self._write_refusal(self._refusal, keep_alive=False, method="")
+        self._stream.close_when_sent()
+        self._context.connections.discard(self)
+
+    def _submit(self, incoming: _IncomingRequest, *, streamed: bool) -> None:
+        call = self._build_call(incoming, streamed=streamed)
+        if isinstance(call, Refusal):
+            self._refuse(call)
+            return
+        length = incoming.head.length
+        incoming.pending = PendingCall(
+            call=call,
+            target=incoming.head.target,
+            headers=self._list_headers(incoming.head),
+            body=incoming.body,
+            body_ended=incoming.is_complete,
+            length=len(incoming.body) if incoming.is_complete and length is None else length,
+            reply=self._make_reply(),
+            arrived=time.monotonic(),
+            resume_caller=self._stream.resume,
+        )
+        self._context.gateway.admit(incoming.pending)
+
+    def _build_call(self, incoming: _IncomingRequest, *, streamed: bool) -> Call | Refusal:
+        head = incoming.head
+        terms = self._context.gateway.dialect.read_request(head.headers)
+        if isinstance(terms, Refusal):
+            return terms
+        host = (find_header(head.headers, b"host") or b"").decode("latin-1")
+        return Call(
+            id=self._context.gateway.allocate_id(),
+            method=head.method,
+            host=host.rsplit(":", 1)[0].lower(),
+            path=unquote(head.target.partition("?")[0]),
+            key=terms.key,
+            fingerprint=compute_fingerprint(head, incoming.body) if terms.key is not None else 0,
+            timeout=terms.timeout,
+            streamed=streamed,
+            retried=terms.retried,
+            unread_wait=incoming.unread_wait,
+            request_id=terms.request_id,
+            identity=compute_identity(
+                head, incoming.body, self._context.body_limit, terms.credential
+            ),
+            credential=terms.credential,
+        )
+
+    def _list_headers(self, head: RequestHead) -> HeaderList:
+        try:
+            host = self._stream.sock.getpeername()[0].encode("ascii")
+        except OSError:
+            host = b"unknown"
+        return [*head.headers, (b"x-forwarded-for", host), (b"via", b"1.1 dotterelgate")]
+
+    def _make_reply(self) -> Reply:
+        return Reply(
+            send_complete=self._send_complete,
+            begin=self._begin_answer,
+            part=self._send_part,
+            end=self._end_answer,
+            cut=self._abort,
+            refuse=self._refuse,
+            is_full=lambda: self._stream.is_full,
+        )
+
+    def _keeps_alive(self) -> bool:
+        assert self._current is not None
+        if self._context.is_stopping or not self._current.is_complete:
+            return False
+        return self._current.head.keep_alive
+
+    def _send_complete(self, answer: StoredAnswer) -> None:
+        length = len(answer.body) if answer.body or answer.length is None else answer.length
+        headers = self._list_answer_headers(answer.headers, answer.server)
+        if answer.status != 204:
+            headers.append((b"content-length", b"%d" % length))
+        self._stream.write(encode_answer_head(answer.status, headers) + answer.body)
+        self._finish()
+
+    def _begin_answer(self, start: AnswerStart) -> None:
+        headers = self._list_answer_headers(start.headers, start.server)
+        self._chunked = start.length is None
+        if start.length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        else:
+            headers.append((b"content-length", b"%d" % start.length))
+        self._stream.write(encode_answer_head(start.status, headers))
+
+    def _list_answer_headers(self, headers: HeaderList, server: str) -> HeaderList:
+        listed = [*headers, *self._context.gateway.dialect.write_answer(server)]
+        listed.append((b"dotterelgate-daemon", self._context.gateway.name.encode("latin-1")))
+        if not self._keeps_alive():
+            listed.append((b"connection", b"close"))
+        return listed
+
+    def _send_part(self, part: bytes) -> None:
+        self._stream.write(encode_chunk(part) if self._chunked else part)
+
+    def _end_answer(self) -> None:
+        if self._chunked:
+            self._stream.write(LAST_CHUNK)
+        self._finish()
+
+    def _abort(self) -> None:
+        # In HTTP, closing before the declared end marks an incomplete answer.
+        self._current = None
+        self._stream.close()
+        self._context.connections.discard(self)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        assert self._current is not None
+        keep_alive = self._keeps_alive()
+        self._write_refusal(refusal, keep_alive=keep_alive, method=self._current.head.method)
+        self._finish()
+
+    def _write_refusal(self, refusal: Refusal, *, keep_alive: bool, method: str) -> None:
+        body = f"{refusal.code.number} {refusal.code.name}: {refusal.reason}\n".encode()
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", b"%d" % len(body)),
+            *self._context.gateway.dialect.write_refusal(refusal),
+            (b"dotterelgate-daemon", self._context.gateway.name.encode("latin-1")),
+        ]
+        if not keep_alive:
+            headers.append((b"connection", b"close"))
+        head = encode_answer_head(refusal.code.status, headers)
+        self._stream.write(head if method == "HEAD" else head + body)
+
+    def _finish(self) -> None:
+        keep_alive = self._keeps_alive()
+        self._current = None
+        self.idle_since = time.monotonic()
+        if not keep_alive:
+            self._stream.close_when_sent()
+            self._context.connections.discard(self)
+            return
+        self._stream.resume()
+        self._start_next()
+
+    def _pause_if_full(self) -> None:
+        if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
+            self._stream.pause()
+        arriving = self._arriving
+        if arriving is None or not self._stream.is_open:
+            return
+        if arriving.pending is None:
+            full = self._current is not None and len(arriving.body) > self._context.body_limit
+        else:
+            full = self._context.gateway.is_body_full(arriving.pending)
+        if full:
+            self._stream.pause()
+
+    def _resume_answer(self) -> None:
+        if self._current is not None and self._current.pending is not None:
+            self._context.gateway.resume_answer(self._current.pending.call.id)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_daemon.callers import CallerServer
-from dotterelgate_daemon.exchanges import PoolTable
 from dotterelgate_daemon.gateway import Gateway
 from dotterelgate_daemon.log_output import make_decision_writer
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.polling import DirectPoller
+from dotterelgate_daemon.pools import PoolTable
 from dotterelgate_daemon.streams import StreamService
 from dotterelgate_daemon.timers import PauseDetector, TimerService
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import structlog
@@ -24,53 +23,22 @@
     from collections.abc import Callable
 
     from dotterelgate_core.codes import ResultCode
-    from dotterelgate_core.messages import Call, Dispatch
+    from dotterelgate_core.messages import Dispatch
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_daemon.codec import AnswerHead, HeaderList
-    from dotterelgate_daemon.dialect import AnswerTerms, Dialect
-    from dotterelgate_daemon.exchanges import ExchangeEnd, PoolTable
+    from dotterelgate_daemon.dialect import Dialect
+    from dotterelgate_daemon.exchanges import ExchangeEnd
     from dotterelgate_daemon.metrics import Metrics
-    from dotterelgate_daemon.replies import Reply
+    from dotterelgate_daemon.pending_calls import PendingCall
+    from dotterelgate_daemon.pools import PoolTable
 
-__all__ = ["Gateway", "PendingCall"]
+__all__ = ["Gateway"]
 
 logger = structlog.get_logger("gateway")
 
 MILLISECONDS = 1000
 
 
-@dataclass(kw_only=True)
-class PendingCall:
-    """Request, answer and connections of a call in progress.
-
-    :param target: path and query
-    :param body_ended: whether ``body`` is complete
-    :param relay_started: whether part of an answer was sent already
-    :param peer: peer that the call was forwarded to
-    :param next_part: number of the next answer part expected from that peer
-    """
-
-    call: Call
-    target: str
-    headers: HeaderList
-    body: bytearray
-    body_ended: bool
-    length: int | None
-    reply: Reply
-    arrived: float
-    exchange: Exchange | None = None
-    start: AnswerStart | None = None
-    answer_body: bytearray = field(default_factory=bytearray)
-    status: int = 0
-    terms: AnswerTerms | None = None
-    relay_started: bool = False
-    peer: str | None = None
-    next_part: int = 0
-    complete_answer: StoredAnswer | None = None
-    service: str = ""
-    resume_caller: Callable[[], None] | None = None
-
-
 class Gateway:
     """Carries out the orders of the request pipeline.
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -11,7 +11,7 @@
 from dotterelgate_core.codes import Outcome, Refusal
 from dotterelgate_core.messages import Call, Purpose
 from dotterelgate_daemon.codec import find_header
-from dotterelgate_daemon.gateway import PendingCall
+from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import AnswerStart, Reply, StoredAnswer
 
 if TYPE_CHECKING:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -16,8 +16,8 @@
     from collections.abc import Callable
 
     from dotterelgate_daemon.codec import AnswerHead, HeaderList
-    from dotterelgate_daemon.exchanges import Pool, PoolTable
     from dotterelgate_daemon.metrics import Metrics
+    from dotterelgate_daemon.pools import Pool, PoolTable
     from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["PlatformAnswer", "PlatformClient"]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -18,8 +18,8 @@
     from dotterelgate_core.pipes import Message
     from dotterelgate_daemon.codec import AnswerHead
     from dotterelgate_daemon.dialect import AnswerTerms, Dialect
-    from dotterelgate_daemon.exchanges import PoolTable
     from dotterelgate_daemon.metrics import Metrics
+    from dotterelgate_daemon.pools import PoolTable
     from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["Prober"]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/stopping.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/stopping.py
@@ -82,7 +82,7 @@
             ends_at=now + self._limit - FLUSH_SECONDS,
         )
         self._state.peers.leaving = True
-        self._caller_server.is_stopping = True
+        self._caller_server.announce_stop()
         self._announce_stopping()
         logger.info("stopping: a graceful stop began", in_progress=len(self._gateway.pending))
         self._timers.subscribe(interval=CHECK_SECONDS, call=self._check)
@@ -116,10 +116,11 @@
         remaining = []
         if self._gateway.pending:
             remaining.append(f"{len(self._gateway.pending)} requests in progress")
-        if self._caller_server.connections:
+        if self._caller_server.count_connections():
             self._caller_server.close()
-        if self._caller_server.connections:
-            remaining.append(f"{len(self._caller_server.connections)} connections with requests")
+        connections = self._caller_server.count_connections()
+        if connections:
+            remaining.append(f"{connections} connections with requests")
         leases = self._count_leases()
         if leases:
             remaining.append(f"{leases} leases not handed over")
