Keep the unsent bytes of a request's body in one place

A streamed body had two holders: PendingCall.body had what arrived before the dispatch, and the exchange what arrived while its connection was being opened.

RequestBody now holds all bytes of a body that no attempt has sent. An attempt reads it from an offset of its own, so that every attempt starts at the first byte. A streamed body releases what an established connection has taken; the core learns from DispatchFailed.is_body_whole that it can't be sent to another server, and refuses the call as not run if its head was not sent. Handovers within the zone and repeated attempts read the same object.

--- a/features/subjects/broken_answers.py
+++ b/features/subjects/broken_answers.py
@@ -95,9 +95,6 @@
         self.exchange = Exchange(
             method="POST",
             head=b"POST / HTTP/1.1\r\nhost: a\r\n\r\n",
-            body=b"",
-            body_ended=True,
-            chunked=False,
             begin=begin,
             part=body.extend,
             completed=complete,
--- /dev/null
+++ b/features/subjects/caller_connections.py
@@ -0,0 +1,142 @@
+"""Subject: one daemon's callers and servers on fake connections."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+
+from dotterelgate_daemon.caller_connections import CallerConnection, ConnectionContext
+from dotterelgate_daemon.dialect import DIALECT
+from dotterelgate_daemon.gateway import Gateway
+from dotterelgate_daemon.metrics import Metrics
+from dotterelgate_daemon.pools import PoolTable
+from dotterelgate_daemon.timers import PauseDetector
+from subjects.exchange import FakeStreams, OpenStream
+from subjects.store_daemon import StoreDaemon
+
+BODY_LIMIT = 1000
+HEAD_LIMIT = 4096
+
+
+class RecordingStream(OpenStream):
+    """A stream that keeps what was written, and can be paused."""
+
+    def __init__(self, *, receive, lost):
+        super().__init__(receive=receive, lost=lost)
+        self.written = bytearray()
+        self.is_paused = False
+        self.closes_when_sent = False
+        self.sock = SimpleNamespace(getpeername=lambda: ("127.0.0.1", 1))
+
+    def write(self, data):
+        """Accept all bytes."""
+        if self.is_open:
+            super().write(data)
+            self.written += data
+
+    def pause(self):
+        """Stop reading."""
+        self.is_paused = True
+
+    def resume(self):
+        """Read again."""
+        self.is_paused = False
+
+    def close_when_sent(self):
+        """Close; everything is sent at once."""
+        self.closes_when_sent = True
+        self.close()
+
+
+class RecordingStreams(FakeStreams):
+    """Opens and adopts streams that keep what was written."""
+
+    def open(self, *, address, ready, receive, lost):
+        """Open a stream; ``establish`` completes it."""
+        stream = RecordingStream(receive=receive, lost=lost)
+        self.opened.append((stream, ready))
+        return stream
+
+    def adopt(self, *, sock, receive, lost):
+        """Make a stream of an accepted connection."""
+        return RecordingStream(receive=receive, lost=lost)
+
+
+class CallerConnections:
+    """One daemon with callers' connections, a gateway and backend servers."""
+
+    def __init__(self, *, servers=3):
+        self.daemon = StoreDaemon()
+        self.daemon.now = time.monotonic()
+        self.daemon.configure(timeout=5.0, target=5.0)
+        for number in range(servers):
+            self.daemon.register(f"i-{number}", offset=number)
+        self.streams = RecordingStreams()
+        self.gateway = Gateway(
+            name="front-1",
+            decide=self.daemon.run,
+            dialect=DIALECT,
+            pools=PoolTable(streams=self.streams),
+            metrics=Metrics(),
+            buffer_limit=BODY_LIMIT,
+            stored_body_limit=BODY_LIMIT,
+            first_call_id=0,
+            count_daemons=lambda: 1,
+            on_decision=lambda decision, request_id: None,
+            call_after=lambda *, delay, call: None,
+        )
+        self.context = ConnectionContext(
+            streams=self.streams,
+            gateway=self.gateway,
+            head_limit=HEAD_LIMIT,
+            body_limit=BODY_LIMIT,
+            pause_detector=PauseDetector(),
+        )
+
+    def connect(self):
+        """Accept a caller; returns its stream."""
+        connection = CallerConnection(context=self.context, sock=None)
+        self.context.connections.add(connection)
+        return connection._stream
+
+    def take_opened(self):
+        """Return the only connection to a server that is being opened, and what establishes it."""
+        ((stream, ready),) = self.streams.opened
+        self.streams.opened = []
+        return stream, ready
+
+    def count_failures(self):
+        """Count the failures that the servers' states have."""
+        return sum(each.failures for each in self.daemon.state.servers.states.values())
+
+    def count_in_flight(self):
+        """Count the requests that servers are taken to work on."""
+        return sum(each.in_flight for each in self.daemon.state.servers.states.values())
+
+
+def encode_request(*, method="POST", path="/write/x", framing="length", size=0, **headers):
+    """Encode the head of a request.
+
+    :param framing: ``length`` or ``chunks``
+    """
+    length = f"Content-Length: {size}" if framing == "length" else "Transfer-Encoding: chunked"
+    lines = [f"{method} {path} HTTP/1.1", "Host: h", length]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("ascii")
+
+
+def encode_part(part, *, framing):
+    """Encode a part of a body."""
+    return b"%x\r\n%b\r\n" % (len(part), part) if framing == "chunks" else part
+
+
+def read_body(written):
+    """Read the body of the request that was written to a server."""
+    head, _, rest = bytes(written).partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" not in head.lower():
+        return rest
+    body = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        body, rest = body + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
+    return body
--- a/features/subjects/exchange.py
+++ b/features/subjects/exchange.py
@@ -6,6 +6,7 @@
 from dotterelgate_core.codes import Refusal
 from dotterelgate_daemon.exchanges import Exchange
 from dotterelgate_daemon.pools import PoolTable
+from dotterelgate_daemon.request_bodies import RequestBody
 
 HEAD = b"POST /orders/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
 BODY = b"body"
@@ -33,9 +34,7 @@
         exchange = Exchange(
             method="POST",
             head=HEAD,
-            body=BODY,
-            body_ended=True,
-            chunked=False,
+            body=RequestBody(BODY, is_complete=True),
             begin=lambda head: None,
             part=lambda part: None,
             completed=lambda: None,
@@ -108,9 +107,6 @@
         exchange = Exchange(
             method="GET",
             head=b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
-            body=b"",
-            body_ended=True,
-            chunked=False,
             begin=lambda head: setattr(exchange, "idle_seconds", 10.0),
             part=lambda part: None,
             completed=lambda: None,
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -7,6 +7,7 @@
 from dotterelgate_core.admission import make_admission_filter
 from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
+from dotterelgate_core.finishing import make_finishing_filter
 from dotterelgate_core.granting import (
     GrantingState,
     make_granting_filter,
@@ -19,7 +20,7 @@
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.policies import make_policies
 from dotterelgate_core.routes import make_route_filter
-from dotterelgate_core.settling import make_finishing_filter, make_settling_filter
+from dotterelgate_core.settling import make_settling_filter
 from dotterelgate_core.suspecting import make_evidence_filter, make_suspect_filter
 
 if TYPE_CHECKING:
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -179,6 +179,7 @@
     :param sent: whether the backend server may have read the complete request head
     :param relay_started: whether part of the answer went to the caller already
     :param refused: whether nothing listens at the server's address
+    :param is_body_whole: whether the request's body can still be sent whole
     """
 
     now: float
@@ -188,6 +189,7 @@
     relay_started: bool
     refusal: Refusal
     refused: bool = False
+    is_body_whole: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -1,4 +1,4 @@
-"""Filters that settle each call: relay an answer, retry, or refuse."""
+"""Filter that settles each call: relay an answer, retry, or refuse."""
 
 from __future__ import annotations
 
@@ -20,8 +20,6 @@
     PeerFailed,
     RefuseCall,
     Relay,
-    ReleaseCall,
-    Replay,
     ServerAnswered,
     SlotFreed,
     Ticked,
@@ -36,7 +34,7 @@
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_finishing_filter", "make_settling_filter"]
+__all__ = ["make_settling_filter"]
 
 
 # Failed connections of one call, with nothing sent, that do not count as attempts.
@@ -106,6 +104,8 @@
 ) -> list[Message]:
     """Choose another server without counting an attempt, since nothing was sent."""
     refusal = Refusal(codes.CONNECT_FAILED, message.refusal.reason)
+    if not message.is_body_whole:
+        return _refuse_unsent(call_state, message.now, refusal)
     if call_state.unsent_attempts >= UNSENT_ATTEMPTS_LIMIT or call_state.attempts > 1:
         return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
     if call_state.caller_disconnected or not _has_untried_server(state, call_state, message):
@@ -131,13 +131,17 @@
     server: str,
 ) -> list[Message]:
     if not _may_retry(state, call_state, now):
-        ran = False if refusal.code.outcome is codes.Outcome.NOT_RUN else None
-        if ran is False:
-            refusal = replace(refusal, retry_after=choose_retry_after(call_state, now))
-        return _refuse(now, call_state.call.id, refusal, ran=ran)
+        if refusal.code.outcome is codes.Outcome.NOT_RUN:
+            return _refuse_unsent(call_state, now, refusal)
+        return _refuse(now, call_state.call.id, refusal, ran=None)
     return _retry_call(call_state, now, refusal.reason, server)
 
 
+def _refuse_unsent(call_state: CallState, now: float, refusal: Refusal) -> list[Message]:
+    refusal = replace(refusal, retry_after=choose_retry_after(call_state, now))
+    return _refuse(now, call_state.call.id, refusal, ran=False)
+
+
 def _retry_call(call_state: CallState, now: float, reason: str, server: str) -> list[Message]:
     call_state.avoided.add(server)
     decision = Decision(
@@ -270,39 +274,3 @@
 
 def _refuse(now: float, call_id: int, refusal: Refusal, *, ran: bool | None) -> list[Message]:
     return [CallSettled(now=now, call_id=call_id, refusal=refusal, ran=ran)]
-
-
-def make_finishing_filter(state: DaemonState) -> Filter:
-    """Build the filter that turns settled calls into final orders and releases their state."""
-
-    def finish(message: Message) -> Iterable[Message]:
-        if isinstance(message, CallSettled):
-            return _finish_settled(state, message)
-        if isinstance(message, (RefuseCall, Replay)):
-            return _finish_answered(state, message)
-        if isinstance(message, Relay):
-            call_state = state.calls.states.pop(message.call_id, None)
-            if call_state is None or call_state.caller_disconnected:
-                return (ReleaseCall(call_id=message.call_id),)
-        return (message,)
-
-    return finish
-
-
-def _finish_settled(state: DaemonState, settled: CallSettled) -> list[Message]:
-    if settled.refusal is None:
-        return []
-    call_state = state.calls.states.pop(settled.call_id, None)
-    if call_state is None or call_state.caller_disconnected:
-        return [ReleaseCall(call_id=settled.call_id)]
-    refusal = settled.refusal
-    if call_state.may_have_run and refusal.outcome is codes.Outcome.NOT_RUN:
-        refusal = Refusal(codes.REPEAT_FAILED, refusal.reason)
-    return [RefuseCall(call_id=settled.call_id, refusal=refusal)]
-
-
-def _finish_answered(state: DaemonState, message: RefuseCall | Replay) -> list[Message]:
-    if isinstance(message, RefuseCall) and message.awaits_answer:
-        return [message]
-    state.calls.states.pop(message.call_id, None)
-    return [message]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -21,6 +21,7 @@
 from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import Reply
+from dotterelgate_daemon.request_bodies import RequestBody
 
 if TYPE_CHECKING:
     import socket
@@ -65,8 +66,7 @@
     """A request that may still be arriving."""
 
     head: RequestHead
-    body: bytearray = field(default_factory=bytearray)
-    is_complete: bool = False
+    body: RequestBody = field(default_factory=RequestBody)
     unread_wait: float = 0.0
     pending: PendingCall | None = None
 
@@ -124,19 +124,14 @@
     def _receive_body(self, part: bytes) -> None:
         arriving = self._arriving
         assert arriving is not None
-        if arriving.pending is not None:
-            self._context.gateway.add_body(arriving.pending, part)
-            return
-        arriving.body += part
-        if len(arriving.body) > self._context.body_limit:
+        arriving.body.add(part)
+        if arriving.pending is None and arriving.body.held_bytes > self._context.body_limit:
             self._start_next()
 
     def _end_body(self) -> None:
         arriving, self._arriving = self._arriving, None
         assert arriving is not None
-        arriving.is_complete = True
-        if arriving.pending is not None:
-            self._context.gateway.end_body(arriving.pending)
+        arriving.body.end()
         self._start_next()
 
     def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
@@ -158,8 +153,8 @@
             self._answer_refusal()
             return
         incoming = self._waiting[0]
-        streamed = not incoming.is_complete
-        if streamed and len(incoming.body) <= self._context.body_limit:
+        streamed = not incoming.body.is_complete
+        if streamed and incoming.body.held_bytes <= self._context.body_limit:
             return
         self._waiting.popleft()
         self._current = incoming
@@ -178,13 +173,16 @@
             self._refuse(call)
             return
         length = incoming.head.length
+        if streamed:
+            incoming.body.stream()
+        elif length is None:
+            length = incoming.body.held_bytes
         incoming.pending = PendingCall(
             call=call,
             target=incoming.head.target,
             headers=self._list_headers(incoming.head),
             body=incoming.body,
-            body_ended=incoming.is_complete,
-            length=len(incoming.body) if incoming.is_complete and length is None else length,
+            length=length,
             reply=self._make_reply(),
             arrived=time.monotonic(),
             resume_caller=self._stream.resume,
@@ -197,21 +195,20 @@
         if isinstance(terms, Refusal):
             return terms
         host = (find_header(head.headers, b"host") or b"").decode("latin-1")
+        body = incoming.body.read_from(0)
         return Call(
             id=self._context.gateway.allocate_id(),
             method=head.method,
             host=host.rsplit(":", 1)[0].lower(),
             path=unquote(head.target.partition("?")[0]),
             key=terms.key,
-            fingerprint=compute_fingerprint(head, incoming.body) if terms.key is not None else 0,
+            fingerprint=compute_fingerprint(head, body) if terms.key is not None else 0,
             timeout=terms.timeout,
             streamed=streamed,
             retried=terms.retried,
             unread_wait=incoming.unread_wait,
             request_id=terms.request_id,
-            identity=compute_identity(
-                head, incoming.body, self._context.body_limit, terms.credential
-            ),
+            identity=compute_identity(head, body, self._context.body_limit, terms.credential),
             credential=terms.credential,
         )
 
@@ -235,7 +232,7 @@
 
     def _keeps_alive(self) -> bool:
         assert self._current is not None
-        if self._context.is_stopping or not self._current.is_complete:
+        if self._context.is_stopping or not self._current.body.is_complete:
             return False
         return self._current.head.keep_alive
 
@@ -314,7 +311,7 @@
         if arriving is None or not self._stream.is_open:
             return
         if arriving.pending is None:
-            full = self._current is not None and len(arriving.body) > self._context.body_limit
+            full = self._current is not None and arriving.body.held_bytes > self._context.body_limit
         else:
             full = self._context.gateway.is_body_full(arriving.pending)
         if full:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -9,6 +9,7 @@
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
 from dotterelgate_daemon.codec import LAST_CHUNK, AnswerReader, encode_chunk
+from dotterelgate_daemon.request_bodies import RequestBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,12 +33,17 @@
     refused: bool = False
 
 
+def _ignore() -> None:
+    pass
+
+
 class Exchange:
     """One request and its answer on one connection.
 
     The connection is closed unless the answer arrived complete and in turn.
 
     :param head: encoded request head
+    :param body: body of the request, empty by default
     :param chunked: whether the body is sent in chunks
     :param begin: called with the head of the answer
     :param part: called with each part of its body
@@ -54,9 +60,8 @@
         *,
         method: str,
         head: bytes,
-        body: bytes,
-        body_ended: bool,
-        chunked: bool,
+        body: RequestBody | None = None,
+        chunked: bool = False,
         begin: Callable[[AnswerHead], None],
         part: Callable[[bytes], None],
         completed: Callable[[], None],
@@ -67,9 +72,10 @@
         request_id: str = "",
     ) -> None:
         self._head = head
-        self._initial_body = bytearray(body)
+        self._body = body if body is not None else RequestBody(is_complete=True)
+        self._body_offset = 0
+        self.has_sent_body = False
         self._drained = drained
-        self._body_ended = body_ended
         self._chunked = chunked
         self._part = part
         self._completed = completed
@@ -98,41 +104,13 @@
         self.stream = stream
         self.started_at = time.monotonic()
         self._sent_before = stream.sent_bytes
-        body = bytes(self._initial_body)
-        data = self._head
-        if body:
-            data += encode_chunk(body) if self._chunked else body
-        if self._body_ended and self._chunked:
-            data += LAST_CHUNK
         stream.drained = self._drained
-        stream.write(data)
-        if self._drained is not None and not stream.is_full:
+        if not self._body.is_complete:
+            self._body.on_change = self._send_body
+        self._send_body(self._head)
+        if self._drained is not None and not self._is_ended and not stream.is_full:
             self._drained()
 
-    def send_part(self, part: bytes) -> None:
-        """Send a further part of the request's body."""
-        if self._is_ended:
-            return
-        if self.stream is None:
-            self._initial_body += part
-        else:
-            self.stream.write(encode_chunk(part) if self._chunked else part)
-
-    def is_body_full(self, limit: int) -> bool:
-        """Return whether further parts of the request's body should wait.
-
-        :param limit: bytes that are buffered until the connection is established
-        """
-        if self.stream is None:
-            return len(self._initial_body) > limit
-        return self.stream.is_full
-
-    def end_body(self) -> None:
-        """Note that the request's body is complete."""
-        self._body_ended = True
-        if self.stream is not None and self._chunked and not self._is_ended:
-            self.stream.write(LAST_CHUNK)
-
     def receive(self, data: bytes) -> None:
         """Read bytes of the answer."""
         if self._is_ended:
@@ -167,16 +145,44 @@
         if self._is_ended:
             return
         sent = self._may_have_been_read()
-        self._is_ended = True
+        self._end()
         self.release(False)
         self._failed(ExchangeEnd(sent=sent, refusal=refusal, refused=refused))
 
     def abandon(self) -> None:
         """Cancel the request by closing the connection, without calling ``failed``."""
         if not self._is_ended:
-            self._is_ended = True
+            self._end()
             self.release(False)
 
+    def _send_body(self, prefix: bytes = b"") -> None:
+        """Send what has arrived of the body, behind a prefix.
+
+        A write may find the connection lost and start another attempt, which has to read the
+        same bytes; they are released after it.
+        """
+        if self.stream is None or self._is_ended:
+            return
+        part = self._body.read_from(self._body_offset)
+        data = prefix
+        if part:
+            data += encode_chunk(part) if self._chunked else part
+        ends = self._body.is_complete and not self.has_sent_body
+        if ends and self._chunked:
+            data += LAST_CHUNK
+        if data:
+            self.stream.write(data)
+        if self._is_ended:
+            return
+        self.has_sent_body = self.has_sent_body or ends
+        self._body_offset += len(part)
+        self._body.note_sent(self._body_offset)
+
+    def _end(self) -> None:
+        self._is_ended = True
+        if self._body.on_change == self._send_body:
+            self._body.on_change = _ignore
+
     def _may_have_been_read(self) -> bool:
         if self.stream is None:
             return False
@@ -191,6 +197,6 @@
         self._is_complete = True
 
     def _complete(self) -> None:
-        self._is_ended = True
-        self.release(self._reader.may_reuse and self._body_ended)
+        self._end()
+        self.release(self._reader.may_reuse and self.has_sent_body)
         self._completed()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -115,7 +115,7 @@
         pending = self.pending.get(call_id)
         if pending is None:
             return
-        if not pending.body_ended:
+        if not pending.body.is_complete:
             # The rest of the body cannot arrive.
             reason = "the caller left before its body was whole"
             self._fail_exchange(pending, codes.CALLER_GONE, reason)
@@ -135,24 +135,12 @@
         """Let the pipeline act on time limits that have passed."""
         self.run(messages.Ticked(now=time.monotonic()))
 
-    def add_body(self, pending: PendingCall, part: bytes) -> None:
-        """Buffer or send a further part of a streamed request body."""
-        if pending.exchange is None:
-            pending.body += part
-        else:
-            pending.exchange.send_part(part)
-
-    def end_body(self, pending: PendingCall) -> None:
-        """Note that a streamed request body is complete."""
-        pending.body_ended = True
-        if pending.exchange is not None:
-            pending.exchange.end_body()
-
     def is_body_full(self, pending: PendingCall) -> bool:
         """Return whether reading of the request body should pause."""
-        if pending.exchange is None:
-            return len(pending.body) > self._buffer_limit
-        return pending.exchange.is_body_full(self._buffer_limit)
+        stream = pending.exchange.stream if pending.exchange is not None else None
+        if stream is None:
+            return pending.body.held_bytes > self._buffer_limit
+        return stream.is_full
 
     def _dispatch(self, order: Dispatch) -> None:
         pending = self.pending[order.call_id]
@@ -161,8 +149,7 @@
         exchange = Exchange(
             method=pending.call.method,
             head=self._encode_head(pending, order),
-            body=bytes(pending.body),
-            body_ended=pending.body_ended,
+            body=pending.body,
             chunked=pending.length is None,
             begin=lambda head: self._begin_answer(pending, head, server.name),
             part=lambda part: self._receive_part(pending, part),
@@ -292,6 +279,7 @@
             relay_started=pending.relay_started,
             refusal=end.refusal,
             refused=end.refused,
+            is_body_whole=pending.body.is_whole,
         )
         self.run(message)
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/identities.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/identities.py
@@ -17,16 +17,14 @@
 IDENTITY_BYTES = 8
 
 
-def compute_fingerprint(head: RequestHead, body: bytearray) -> int:
+def compute_fingerprint(head: RequestHead, body: bytes) -> int:
     """Compute a digest of method, target and body, compared under one idempotency key."""
     digest = xxhash.xxh3_64(f"{head.method} {head.target}\n".encode())
-    digest.update(bytes(body))
+    digest.update(body)
     return digest.intdigest()
 
 
-def compute_identity(
-    head: RequestHead, body: bytearray, limit: int, credential: bytes = b""
-) -> int:
+def compute_identity(head: RequestHead, body: bytes, limit: int, credential: bytes = b"") -> int:
     """Compute a digest that is the same whenever the same request comes again.
 
     It covers method, host, target, credentials and body; of a body that is streamed, since it has
@@ -41,7 +39,7 @@
         head.target.encode("latin-1"),
         find_header(head.headers, b"authorization") or credential,
         b"%d" % length,
-        bytes(body[:limit]),
+        body[:limit],
     )
     # A cryptographic digest: nobody can make a request that shares the identity of another's.
     return int.from_bytes(blake2b(b"\n".join(parts), digest_size=IDENTITY_BYTES).digest(), "big")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -13,6 +13,7 @@
 from dotterelgate_daemon.codec import find_header
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import AnswerStart, Reply, StoredAnswer
+from dotterelgate_daemon.request_bodies import RequestBody
 
 if TYPE_CHECKING:
     from dotterelgate_border.handover import PeerMessage
@@ -71,7 +72,7 @@
             method=call.method,
             path=pending.target,
             headers=pending.headers,
-            body=bytes(pending.body),
+            body=pending.body.read_from(0),
             key=call.key,
             fingerprint=call.fingerprint,
         )
@@ -171,8 +172,7 @@
             call=call,
             target=message.path,
             headers=message.headers,
-            body=bytearray(message.body),
-            body_ended=True,
+            body=RequestBody(message.body, is_complete=True),
             length=len(message.body),
             reply=self._make_reply(message),
             arrived=time.monotonic(),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/pending_calls.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/pending_calls.py
@@ -13,6 +13,7 @@
     from dotterelgate_daemon.dialect import AnswerTerms
     from dotterelgate_daemon.exchanges import Exchange
     from dotterelgate_daemon.replies import AnswerStart, Reply, StoredAnswer
+    from dotterelgate_daemon.request_bodies import RequestBody
 
 __all__ = ["PendingCall"]
 
@@ -22,7 +23,7 @@
     """Request, answer and connections of a call in progress.
 
     :param target: path and query
-    :param body_ended: whether ``body`` is complete
+    :param length: bytes of the body, or ``None`` when it is chunked
     :param relay_started: whether part of an answer was sent already
     :param peer: peer that the call was forwarded to
     :param next_part: number of the next answer part expected from that peer
@@ -31,8 +32,7 @@
     call: Call
     target: str
     headers: HeaderList
-    body: bytearray
-    body_ended: bool
+    body: RequestBody
     length: int | None
     reply: Reply
     arrived: float
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -11,6 +11,7 @@
 from dotterelgate_core.codes import Refusal
 from dotterelgate_daemon.codec import encode_request_head
 from dotterelgate_daemon.exchanges import Exchange
+from dotterelgate_daemon.request_bodies import RequestBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,9 +127,7 @@
         exchange = Exchange(
             method=method,
             head=encode_request_head(method, path, headers),
-            body=body,
-            body_ended=True,
-            chunked=False,
+            body=RequestBody(body, is_complete=True),
             begin=heads.append,
             part=receive_part,
             completed=finish,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -85,9 +85,6 @@
         exchange = Exchange(
             method="GET",
             head=encode_request_head("GET", order.path, headers),
-            body=b"",
-            body_ended=True,
-            chunked=False,
             begin=begin,
             part=lambda part: None,
             completed=lambda: report_end(answered=True),
