Cancel requests whose callers leave before the body is complete

The connection cleared its current request, and the gateway then failed the exchange while the reply still led to that connection: the refusal failed an assertion, the entry with the body stayed for ever, and the orders after it in the same pass were lost.

CallerDisconnected.is_body_complete lets the core cancel the call, whatever its route: no server can get the rest of the body. The entry, the body and the slot are freed, and no failure is recorded; nor is one when a caller leaves during a long response. The same cause in requests whose chunks become invalid is mended by the same path.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -24,3 +24,29 @@
       | kind  |
       | write |
       | read  |
+
+  # Each caller that gave up cost its body and a failure of the server, until processes ended.
+  Scenario Outline: A caller that leaves in the middle of its body costs neither memory nor a server
+    Given a daemon with 3 backend servers on fake connections
+    When 5 callers of a <kind> leave after 5000 of 9000 bytes, <moment>
+    Then nothing is kept of it
+    And the connections to servers are closed, and no server has a failure
+
+    Examples:
+      | kind  | moment                           |
+      | write | while the connection is opened   |
+      | write | after the connection was opened  |
+      | read  | while the connection is opened   |
+      | read  | after the connection was opened  |
+      | write | within chunks that are not valid |
+
+  Scenario: A caller that leaves before its body is large enough to be passed on costs no memory
+    Given a daemon with 3 backend servers on fake connections
+    When a caller leaves after 500 of 9000 bytes
+    Then nothing is kept of it
+
+  # A call that had been given a freed slot was never sent, and got 504.
+  Scenario: An order that can't be carried out keeps no other order back
+    Given a daemon with 3 backend servers on fake connections
+    When two calls end in one pass, and the reply to the first raises an error
+    Then the second is answered, and nothing is kept of it
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -128,10 +128,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerDisconnected:
-    """The caller closed its connection or the peer cancelled."""
+    """The caller closed its connection or the peer cancelled.
+
+    :param is_body_complete: whether the whole body of its request had arrived
+    """
 
     now: float
     call_id: int
+    is_body_complete: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/observing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/observing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core import codes
 from dotterelgate_core.control_messages import AnnounceLeaving
 from dotterelgate_core.learning import learn_from_answer
 from dotterelgate_core.messages import Decision, DispatchFailed, ServerAnswered, SlotFreed
@@ -67,7 +68,7 @@
     server = state.servers.states.get(message.server)
     if call_state is None:
         return []
-    if server is not None:
+    if server is not None and message.refusal.code is not codes.CALLER_GONE:
         server.record_failure(message.now)
         server.view.update_failure_share(failed=True, now=message.now)
         server.view.has_unsent_failure = True
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -221,11 +221,14 @@
     if call_state is None:
         return []
     call_state.caller_disconnected = True
+    refusal = Refusal(codes.CALLER_GONE, "the caller closed its connection")
+    if not message.is_body_complete:
+        # No server can get the rest of the body.
+        return _cancel_call(state, call_state, message.now, refusal)
     if not call_state.routed.route.idempotent and not call_state.queued:
         return []
     if call_state.digest is not None:
         return []
-    refusal = Refusal(codes.CALLER_GONE, "the caller closed its connection")
     return _cancel_call(state, call_state, message.now, refusal)
 
 
