Choose routes by the path as the caller sent it

Calls handed over by peers were decoded in the same way.

Both now compare the bytes of the target, without the query.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -50,3 +50,26 @@
     Given a daemon with 3 backend servers on fake connections
     When two calls end in one pass, and the reply to the first raises an error
     Then the second is answered, and nothing is kept of it
+
+  # Writes to /read%2F1 took the route of /read/, which is safe, and ran twice.
+  Scenario Outline: A request to <path> takes the route of the longest prefix that begins it as sent
+    Given a daemon with 3 backend servers on fake connections
+    When a caller and a peer send a request to <path>
+    Then both take the route <route>
+    And the server gets the bytes <path>
+
+    Examples:
+      | path                  | route   |
+      | /read/1               | /read/  |
+      | /read/1?a=/write/     | /read/  |
+      | /read%2F1             | /       |
+      | /read%2f1             | /       |
+      | /write%2Fread/1       | /       |
+      | /write/..%2Fread/1    | /write/ |
+      | /read/../write/1      | /read/  |
+      | /read/%2e%2e/write/1  | /read/  |
+      | /read/./1             | /read/  |
+      | //read/1              | /       |
+      | /read//1              | /read/  |
+      | /re%61d/1             | /       |
+      | /READ/1               | /       |
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -149,3 +149,24 @@
 def check_second(context):
     assert context.callers[1].written.startswith(b"HTTP/1.1 504"), context.callers[1].written
     check_nothing_kept(context)
+
+
+@when("a caller and a peer send a request to {path}")
+def send_both(context, path):
+    subject = context.subject
+    subject.add_general_route()
+    subject.connect().receive(encode_request(path=path))
+    context.server, ready = subject.take_opened()
+    ready()
+    subject.receive_handed(path)
+
+
+@then("both take the route {prefix}")
+def check_route(context, prefix):
+    states = context.subject.daemon.state.calls.states.values()
+    assert [each.routed.route.prefix for each in states] == [prefix] * 2, states
+
+
+@then("the server gets the bytes {path}")
+def check_bytes(context, path):
+    assert context.server.written.startswith(f"POST {path} HTTP/1.1\r\n".encode("ascii"))
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 
+from dotterelgate_border.handover import HandedCall
+from dotterelgate_core.configuration import Route
+from dotterelgate_core.store_control import ConfigurationStored
 from dotterelgate_daemon.caller_connections import CallerConnection, ConnectionContext
 from dotterelgate_daemon.dialect import DIALECT
 from dotterelgate_daemon.gateway import Gateway
 from dotterelgate_daemon.metrics import Metrics
+from dotterelgate_daemon.peering import Peering
 from dotterelgate_daemon.pools import PoolTable
 from dotterelgate_daemon.timers import PauseDetector
 from subjects.exchange import FakeStreams, OpenStream
@@ -99,6 +104,47 @@
         self.context.connections.add(connection)
         return connection._stream
 
+    def add_general_route(self):
+        """Put a configuration in force that has a route for any path, too."""
+        current = self.daemon.state.configuration.current
+        (service,) = current.services
+        general = Route(prefix="/", idempotent=False, timeout=5.0)
+        service = replace(service, routes=(*service.routes, general))
+        configuration = replace(current, id="2", revision=2, services=(service,))
+        stored = ConfigurationStored(
+            now=self.daemon.now, configuration=configuration, source="the store"
+        )
+        self.daemon.run_control(stored)
+
+    def receive_handed(self, path):
+        """Receive a call to a path from a peer."""
+        peering = Peering(
+            name="front-1",
+            incarnation="a",
+            gateway=self.gateway,
+            links=SimpleNamespace(send=lambda name, message, call_id=None: True),
+            peers=self.daemon.state.peers,
+            clock_error=0.0,
+        )
+        handed = HandedCall(
+            sender="front-2",
+            incarnation="a",
+            target="front-1",
+            call_id=1,
+            purpose="own",
+            timeout=5.0,
+            expires=time.time() + 5.0,
+            fence=None,
+            retried=False,
+            method="POST",
+            path=path,
+            headers=[(b"host", b"h")],
+            body=b"",
+            key=None,
+            fingerprint=0,
+        )
+        peering.receive(handed)
+
     def take_opened(self):
         """Return the only connection to a server that is being opened, and what establishes it."""
         ((stream, ready),) = self.streams.opened
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -59,7 +59,7 @@
     :param id: unique in this daemon
     :param method: HTTP method
     :param host: value of ``Host`` without the port
-    :param path: path without the query
+    :param path: path without the query, as the caller sent it
     :param key: idempotency key, if the caller sent one
     :param fingerprint: digest of method, target and body, compared under one key
     :param timeout: seconds that the caller still waits, if it sent a limit
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -6,7 +6,6 @@
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
-from urllib.parse import unquote
 
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.messages import Call
@@ -22,6 +21,7 @@
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import Reply
 from dotterelgate_daemon.request_bodies import RequestBody
+from dotterelgate_daemon.targets import read_path
 
 if TYPE_CHECKING:
     import socket
@@ -201,7 +201,7 @@
             id=self._context.gateway.allocate_id(),
             method=head.method,
             host=host.rsplit(":", 1)[0].lower(),
-            path=unquote(head.target.partition("?")[0]),
+            path=read_path(head.target),
             key=terms.key,
             fingerprint=compute_fingerprint(head, body) if terms.key is not None else 0,
             timeout=terms.timeout,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -4,7 +4,6 @@
 
 import time
 from typing import TYPE_CHECKING
-from urllib.parse import unquote
 
 from dotterelgate_border.handover import AnswerPart, HandedCall, Ping, Pong, Withdrawal
 from dotterelgate_core import codes
@@ -14,6 +13,7 @@
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import AnswerStart, Reply, StoredAnswer
 from dotterelgate_daemon.request_bodies import RequestBody
+from dotterelgate_daemon.targets import read_path
 
 if TYPE_CHECKING:
     from dotterelgate_border.handover import PeerMessage
@@ -159,7 +159,7 @@
             id=call_id,
             method=message.method,
             host=host.rsplit(":", 1)[0].lower(),
-            path=unquote(message.path.partition("?")[0]),
+            path=read_path(message.path),
             key=message.key,
             fingerprint=message.fingerprint,
             timeout=message.timeout,
