Close callers' connections in two steps

After the last response on a connection the socket was closed as soon as the kernel had the response.

The connection now sends the response, shuts down its sending side, and reads on for 7 s and 4,375,000 bytes (RFC 9112, 9.6); beyond that the bytes stay unread until the end. A connection that is closing passes no request on, and stays counted until its stream is closed.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -73,3 +73,24 @@
       | /read//1              | /read/  |
       | /re%61d/1             | /       |
       | /READ/1               | /       |
+
+  # Responses that were ready early were cut off by a reset, since unread bytes were left.
+  Scenario Outline: A connection that closes after <response> is read on until its caller has it
+    Given a daemon with 3 backend servers on fake connections
+    When a caller gets <response> before its 9000000 bytes have arrived
+    Then the sending side is shut down after the response
+    And at most 5000000 bytes are read on, and the connection is open
+    When 7 s have passed
+    Then the connection is closed
+
+    Examples:
+      | response            |
+      | a server's response |
+      | a refusal           |
+
+  # A request behind a last one was run although nobody could get its response.
+  Scenario: A request behind one that closes the connection is not passed on
+    Given a daemon with 3 backend servers on fake connections
+    When a caller sends a request that is refused and a write at once during a planned stop
+    Then nothing is passed on, and the caller gets one response
+    And nothing is kept of it
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -170,3 +170,64 @@
 @then("the server gets the bytes {path}")
 def check_bytes(context, path):
     assert context.server.written.startswith(f"POST {path} HTTP/1.1\r\n".encode("ascii"))
+
+
+@when("a caller gets {response} before its {size:d} bytes have arrived")
+def respond_early(context, response, size):
+    subject = context.subject
+    context.caller = subject.connect()
+    if response == "a refusal":
+        context.caller.receive(encode_request(size=size, Request_Timeout_Ms="soon"))
+        context.caller.receive(make_body(5000))
+    else:
+        context.caller.receive(encode_request(size=size))
+        context.caller.receive(make_body(5000))
+        server, ready = subject.take_opened()
+        ready()
+        server.receive(ANSWER)
+    context.size = size
+
+
+@then("the sending side is shut down after the response")
+def check_shut_down(context):
+    assert context.caller.written.startswith(b"HTTP/1.1 "), context.caller.written
+    assert b"connection: close" in context.caller.written.lower()
+    assert context.caller.has_ended_sending
+
+
+@then("at most {limit:d} bytes are read on, and the connection is open")
+def check_read_on(context, limit):
+    read = 0
+    while not context.caller.is_paused and read < context.size:
+        context.caller.receive(bytes(PART_BYTES))
+        read += PART_BYTES
+    assert 0 < read <= limit, read
+    assert context.caller.is_open
+    check_nothing_kept(context)
+
+
+@when("{seconds:d} s have passed")
+def pass_time(context, seconds):
+    for delay, call in context.subject.timers:
+        assert delay <= seconds
+        call()
+
+
+@then("the connection is closed")
+def check_connection_closed(context):
+    assert not context.caller.is_open
+    assert not context.subject.context.connections
+
+
+@when("a caller sends a request that is refused and a write at once during a planned stop")
+def send_behind_last(context):
+    context.caller = context.subject.connect()
+    context.subject.context.is_stopping = True
+    refused = encode_request(Request_Timeout_Ms="soon")
+    context.caller.receive(refused + encode_request(path="/write/later"))
+
+
+@then("nothing is passed on, and the caller gets one response")
+def check_nothing_passed_on(context):
+    assert not context.subject.streams.opened
+    assert context.caller.written.count(b"HTTP/1.1") == 1
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -30,7 +30,8 @@
         super().__init__(receive=receive, lost=lost)
         self.written = bytearray()
         self.is_paused = False
-        self.closes_when_sent = False
+        self.closed = lambda: None
+        self.has_ended_sending = False
         self.sock = SimpleNamespace(getpeername=lambda: ("127.0.0.1", 1))
 
     def write(self, data):
@@ -47,10 +48,28 @@
         """Read again."""
         self.is_paused = False
 
+    def call_when_sent(self, call):
+        """Call a function once everything is sent, which is at once unless the test holds it."""
+        call()
+
+    def end_sending(self):
+        """Note that nothing more is sent."""
+        self.has_ended_sending = True
+
     def close_when_sent(self):
-        """Close; everything is sent at once."""
-        self.closes_when_sent = True
-        self.close()
+        """Close after everything is sent."""
+        self.call_when_sent(self.close)
+
+    def close(self):
+        """Close the stream."""
+        if self.is_open:
+            super().close()
+            self.closed()
+
+    def reset(self):
+        """Reset the stream, as the other side would."""
+        super().reset()
+        self.closed()
 
 
 class RecordingStreams(FakeStreams):
@@ -76,6 +95,7 @@
         self.daemon.configure(timeout=5.0, target=5.0)
         for number in range(servers):
             self.daemon.register(f"i-{number}", offset=number)
+        self.timers = []
         self.streams = RecordingStreams()
         self.gateway = Gateway(
             name="front-1",
@@ -96,6 +116,7 @@
             head_limit=HEAD_LIMIT,
             body_limit=BODY_LIMIT,
             pause_detector=PauseDetector(),
+            call_after=lambda *, delay, call: self.timers.append((delay, call)),
         )
 
     def connect(self):
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -18,6 +18,7 @@
     find_header,
 )
 from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
+from dotterelgate_daemon.lingering import close_in_steps
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import Reply
 from dotterelgate_daemon.request_bodies import RequestBody
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from dotterelgate_core.codes import ResultCode
     from dotterelgate_daemon.codec import HeaderList, RequestHead
@@ -48,6 +50,7 @@
     :param head_limit: largest request head, in bytes
     :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
     :param pause_detector: measures how long a request may have waited unread
+    :param call_after: calls a function after a delay
     :param is_stopping: whether connections close after the answer in progress
     :param connections: the open connections
     """
@@ -57,6 +60,7 @@
     head_limit: int
     body_limit: int
     pause_detector: PauseDetector
+    call_after: Callable[..., None]
     is_stopping: bool = False
     connections: set[CallerConnection] = field(default_factory=set)
 
@@ -80,12 +84,14 @@
             sock=sock, receive=self._receive, lost=self._note_disconnect
         )
         self._stream.drained = self._resume_answer
+        self._stream.closed = lambda: context.connections.discard(self)
         self._waiting: deque[_IncomingRequest] = deque()
         self._arriving: _IncomingRequest | None = None
         self._current: _IncomingRequest | None = None
         self._refusal: Refusal | None = None
         self._chunked = False
         self._unread_wait = 0.0
+        self._is_closing = False
         self.idle_since = time.monotonic()
         self._reader = RequestReader(
             head_limit=context.head_limit,
@@ -99,17 +105,26 @@
         """Close unless a request is in progress or may be in transit."""
         if time.monotonic() - self.idle_since < TRANSIT_SECONDS:
             return
-        if self._current is None and self._arriving is None:
+        if self._current is None and self._arriving is None and not self._is_closing:
+            self._is_closing = True
             self._stream.close_when_sent()
-            self._context.connections.discard(self)
 
     def _receive(self, data: bytes) -> None:
         self._unread_wait = self._context.pause_detector.measure()
         self._reader.feed(data)
         self._pause_if_full()
 
+    def _close(self) -> None:
+        # Bytes that were not read, of this request or of later ones, would reset the connection.
+        self._is_closing = True
+        for each in self._waiting:
+            each.body.discard()
+        self._waiting.clear()
+        if self._arriving is not None:
+            self._arriving.body.discard()
+        close_in_steps(self._stream, call_after=self._context.call_after)
+
     def _note_disconnect(self) -> None:
-        self._context.connections.discard(self)
         current, self._current = self._current, None
         for each in self._waiting:
             each.body.discard()
@@ -148,7 +163,7 @@
         self._start_next()
 
     def _start_next(self) -> None:
-        if self._current is not None:
+        if self._current is not None or self._is_closing:
             return
         if not self._waiting:
             self._answer_refusal()
@@ -165,8 +180,7 @@
         if self._refusal is None:
             return
         self._write_refusal(self._refusal, keep_alive=False, method="")
-        self._stream.close_when_sent()
-        self._context.connections.discard(self)
+        self._close()
 
     def _submit(self, incoming: _IncomingRequest, *, streamed: bool) -> None:
         call = self._build_call(incoming, streamed=streamed)
@@ -274,7 +288,6 @@
         # In HTTP, closing before the declared end marks an incomplete answer.
         self._current = None
         self._stream.close()
-        self._context.connections.discard(self)
 
     def _refuse(self, refusal: Refusal) -> None:
         if self._current is None:
@@ -301,13 +314,14 @@
         self._current = None
         self.idle_since = time.monotonic()
         if not keep_alive:
-            self._stream.close_when_sent()
-            self._context.connections.discard(self)
+            self._close()
             return
         self._stream.resume()
         self._start_next()
 
     def _pause_if_full(self) -> None:
+        if self._is_closing:
+            return
         if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
             self._stream.pause()
         arriving = self._arriving
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.streams import StreamService
@@ -23,6 +24,7 @@
     :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
     :param connection_limit: largest number of open connections
     :param pause_detector: measures how long a request may have waited unread
+    :param call_after: calls a function after a delay
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         body_limit: int,
         connection_limit: int,
         pause_detector: PauseDetector,
+        call_after: Callable[..., None],
     ) -> None:
         self._streams = streams
         self._context = ConnectionContext(
@@ -42,6 +45,7 @@
             head_limit=head_limit,
             body_limit=body_limit,
             pause_detector=pause_detector,
+            call_after=call_after,
         )
         self._connection_limit = connection_limit
         self._listener: socket.socket | None = None
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -95,6 +95,7 @@
         body_limit=settings.kept_body_limit,
         connection_limit=settings.caller_connections,
         pause_detector=pause_detector,
+        call_after=timers.call_after,
     )
     timers.subscribe(interval=PAUSE_CHECK_SECONDS, call=pause_detector.check)
     gateway.hasten_ticks = timers.subscribe(
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -59,6 +59,8 @@
     :param receive: called with bytes as they arrive
     :param lost: called once when the remote side or the network ended the connection
     :param ready: called once when an opened connection is established
+
+    ``closed`` is called once when the connection ends, for whatever reason.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.lost = lost
         self.ready = ready
         self.drained: Callable[[], None] | None = None
+        self.closed: Callable[[], None] = _ignore
         self.is_open = True
         self.received_eof = False
         self.was_refused = False
@@ -82,7 +85,7 @@
         self._service = service
         self._pending: deque[bytes] = deque()
         self._pending_bytes = 0
-        self._closes_when_sent = False
+        self._when_sent: Callable[[], None] | None = None
         self._paused = False
 
     @property
@@ -106,12 +109,25 @@
         if self.is_open:
             self.is_open = False
             self._service.drop(self)
+            self.closed()
 
     def close_when_sent(self) -> None:
         """Close after everything written has been sent."""
-        if not self._pending:
-            self.close()
-        self._closes_when_sent = True
+        self.call_when_sent(self.close)
+
+    def call_when_sent(self, call: Callable[[], None]) -> None:
+        """Call a function once the kernel has accepted everything written."""
+        if self._pending:
+            self._when_sent = call
+        else:
+            call()
+
+    def end_sending(self) -> None:
+        """Tell the remote side that nothing more is sent; bytes are still received."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.end()
 
     def pause(self) -> None:
         """Stop reading."""
@@ -140,8 +156,9 @@
         if not self.is_open:
             return
         self._service.unwatch_writes(self)
-        if self._closes_when_sent:
-            self.close()
+        if self._when_sent is not None:
+            call, self._when_sent = self._when_sent, None
+            call()
         elif self.drained is not None:
             self.drained()
 
