--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -59,7 +59,7 @@
     :param id: unique in this daemon
     :param method: HTTP method
     :param host: value of ``Host`` without the port
-    :param path: path without the query
+    :param path: path without the query, as the caller sent it
     :param key: idempotency key, if the caller sent one
     :param fingerprint: digest of method, target and body, compared under one key
     :param timeout: seconds that the caller still waits, if it sent a limit
@@ -128,10 +128,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerDisconnected:
-    """The caller closed its connection or the peer cancelled."""
+    """The caller closed its connection or the peer cancelled.
+
+    :param is_body_complete: whether the whole body of its request had arrived
+    """
 
     now: float
     call_id: int
+    is_body_complete: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -179,6 +183,7 @@
     :param sent: whether the backend server may have read the complete request head
     :param relay_started: whether part of the answer went to the caller already
     :param refused: whether nothing listens at the server's address
+    :param is_body_whole: whether the request's body can still be sent whole
     """
 
     now: float
@@ -188,6 +193,7 @@
     relay_started: bool
     refusal: Refusal
     refused: bool = False
+    is_body_whole: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import structlog
@@ -24,53 +23,22 @@
     from collections.abc import Callable
 
     from dotterelgate_core.codes import ResultCode
-    from dotterelgate_core.messages import Call, Dispatch
+    from dotterelgate_core.messages import Dispatch
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_daemon.codec import AnswerHead, HeaderList
-    from dotterelgate_daemon.dialect import AnswerTerms, Dialect
-    from dotterelgate_daemon.exchanges import ExchangeEnd, PoolTable
+    from dotterelgate_daemon.dialect import Dialect
+    from dotterelgate_daemon.exchanges import ExchangeEnd
     from dotterelgate_daemon.metrics import Metrics
-    from dotterelgate_daemon.replies import Reply
+    from dotterelgate_daemon.pending_calls import PendingCall
+    from dotterelgate_daemon.pools import PoolTable
 
-__all__ = ["Gateway", "PendingCall"]
+__all__ = ["Gateway"]
 
 logger = structlog.get_logger("gateway")
 
 MILLISECONDS = 1000
 
 
-@dataclass(kw_only=True)
-class PendingCall:
-    """Request, answer and connections of a call in progress.
-
-    :param target: path and query
-    :param body_ended: whether ``body`` is complete
-    :param relay_started: whether part of an answer was sent already
-    :param peer: peer that the call was forwarded to
-    :param next_part: number of the next answer part expected from that peer
-    """
-
-    call: Call
-    target: str
-    headers: HeaderList
-    body: bytearray
-    body_ended: bool
-    length: int | None
-    reply: Reply
-    arrived: float
-    exchange: Exchange | None = None
-    start: AnswerStart | None = None
-    answer_body: bytearray = field(default_factory=bytearray)
-    status: int = 0
-    terms: AnswerTerms | None = None
-    relay_started: bool = False
-    peer: str | None = None
-    next_part: int = 0
-    complete_answer: StoredAnswer | None = None
-    service: str = ""
-    resume_caller: Callable[[], None] | None = None
-
-
 class Gateway:
     """Carries out the orders of the request pipeline.
 
@@ -147,19 +115,41 @@
         pending = self.pending.get(call_id)
         if pending is None:
             return
-        if not pending.body_ended:
-            # The rest of the body cannot arrive.
-            reason = "the caller left before its body was whole"
-            self._fail_exchange(pending, codes.CALLER_GONE, reason)
         pending.reply = NULL_REPLY
-        self.run(messages.CallerDisconnected(now=time.monotonic(), call_id=call_id))
+        is_body_complete = pending.body.is_complete
+        self._release_body(pending)
+        message = messages.CallerDisconnected(
+            now=time.monotonic(), call_id=call_id, is_body_complete=is_body_complete
+        )
+        self.run(message)
+
+    @staticmethod
+    def _release_body(pending: PendingCall) -> None:
+        """Release what no attempt needs of the body of a call whose caller has disconnected."""
+        exchange = pending.exchange
+        if not pending.body.is_complete or exchange is not None and exchange.has_sent_body:
+            if pending.call.key is None:
+                pending.body.discard()
+        elif pending.call.key is None:
+            pending.body.stream()
 
     def run(self, message: Message) -> None:
-        """Run a message through the pipeline and carry out the orders."""
+        """Run a message through the pipeline and carry out the orders.
+
+        An order that can't be carried out is logged and doesn't keep the others from it.
+        """
         for order in self._decide(message):
             sink = self._sinks.get(type(order))
-            if sink is not None:
+            if sink is None:
+                continue
+            try:
                 sink(order)
+            except Exception:
+                logger.exception(
+                    "gateway: an order could not be carried out",
+                    order=type(order).__name__,
+                    call_id=getattr(order, "call_id", None),
+                )
         self.after_run()
         self.hasten_ticks()
 
@@ -167,34 +157,23 @@
         """Let the pipeline act on time limits that have passed."""
         self.run(messages.Ticked(now=time.monotonic()))
 
-    def add_body(self, pending: PendingCall, part: bytes) -> None:
-        """Buffer or send a further part of a streamed request body."""
-        if pending.exchange is None:
-            pending.body += part
-        else:
-            pending.exchange.send_part(part)
-
-    def end_body(self, pending: PendingCall) -> None:
-        """Note that a streamed request body is complete."""
-        pending.body_ended = True
-        if pending.exchange is not None:
-            pending.exchange.end_body()
-
     def is_body_full(self, pending: PendingCall) -> bool:
         """Return whether reading of the request body should pause."""
-        if pending.exchange is None:
-            return len(pending.body) > self._buffer_limit
-        return pending.exchange.is_body_full(self._buffer_limit)
+        stream = pending.exchange.stream if pending.exchange is not None else None
+        if stream is None:
+            return pending.body.held_bytes > self._buffer_limit
+        return stream.is_full
 
     def _dispatch(self, order: Dispatch) -> None:
-        pending = self.pending[order.call_id]
+        pending = self.pending.get(order.call_id)
+        if pending is None:
+            return
         self._reset_answer(pending)
         server = order.server
         exchange = Exchange(
             method=pending.call.method,
             head=self._encode_head(pending, order),
-            body=bytes(pending.body),
-            body_ended=pending.body_ended,
+            body=pending.body,
             chunked=pending.length is None,
             begin=lambda head: self._begin_answer(pending, head, server.name),
             part=lambda part: self._receive_part(pending, part),
@@ -324,6 +303,7 @@
             relay_started=pending.relay_started,
             refusal=end.refusal,
             refused=end.refused,
+            is_body_whole=pending.body.is_whole,
         )
         self.run(message)
 
@@ -368,7 +348,9 @@
         self.run(message)
 
     def _forward(self, order: messages.Forward) -> None:
-        pending = self.pending[order.call_id]
+        pending = self.pending.get(order.call_id)
+        if pending is None:
+            return
         self._reset_answer(pending)
         pending.peer = order.peer
         self._metrics.handovers.labels(purpose=order.purpose.value).inc()
@@ -386,19 +368,21 @@
             pending.peer = None
 
     def _relay(self, order: messages.Relay) -> None:
-        pending = self.pending.pop(order.call_id, None)
+        pending = self._remove(order.call_id)
         if pending is None:
             return
         if pending.relay_started:
             pending.reply.end()
-        else:
-            assert pending.complete_answer is not None
+        elif pending.complete_answer is not None:
             pending.reply.send_complete(pending.complete_answer)
+        else:
+            logger.error("gateway: there is no answer to relay", call_id=order.call_id)
+            pending.reply.cut()
         self._log_outcome(pending, f"answered by {order.source}", status=pending.status)
         self._count_answer(pending, codes.OK.name)
 
     def _replay(self, order: messages.Replay) -> None:
-        pending = self.pending.pop(order.call_id, None)
+        pending = self._remove(order.call_id)
         if pending is None:
             return
         assert isinstance(order.stored_answer, StoredAnswer)
@@ -409,10 +393,13 @@
         pending = self.pending.get(order.call_id)
         if pending is None:
             return
+        reply, pending.reply = pending.reply, NULL_REPLY
+        if not order.awaits_answer:
+            self._remove(order.call_id)
         if pending.relay_started:
-            pending.reply.cut()
+            reply.cut()
         else:
-            pending.reply.refuse(order.refusal)
+            reply.refuse(order.refusal)
         self._log_outcome(
             pending,
             f"refused with {order.refusal.code.name}: {order.refusal.reason}",
@@ -420,14 +407,17 @@
             outcome=order.refusal.outcome.value,
             retry_after=order.refusal.retry_after,
         )
-        if order.awaits_answer:
-            pending.reply = NULL_REPLY
-        else:
-            del self.pending[order.call_id]
         self._count_answer(pending, order.refusal.code.name)
 
     def _release(self, order: messages.ReleaseCall) -> None:
-        self.pending.pop(order.call_id, None)
+        self._remove(order.call_id)
+
+    def _remove(self, call_id: int) -> PendingCall | None:
+        pending = self.pending.pop(call_id, None)
+        if pending is not None:
+            # Parts that still arrive are for nobody.
+            pending.body.discard()
+        return pending
 
     def _write_decision(self, decision: messages.Decision) -> None:
         pending = self.pending.get(decision.call_id) if decision.call_id is not None else None
