Queue waiting requests by rank and fairly between organisations

Cause: waiting requests were ordered by the route's priority and then first in, first out, so one organisation's load peak took the slots of all others. Change: a rank is the organisation's priority and then the route's; inside a rank start-time fair queueing with the expected work as cost decides between organisations. Slot requests carry the organisation, and owners read it. The expected wait counts what goes ahead of that organisation's request. The queues move to a package of their own.

--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -18,7 +18,7 @@
     from dotterelgate_core.calls import CallState
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.policies import Policy
-    from dotterelgate_core.queues import ServiceQueue
+    from dotterelgate_core.queueing.queues import ServiceQueue
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
@@ -88,7 +88,7 @@
             reason = f"the backend servers of {service.name} want no requests for now"
         return Refusal(code, reason, retry_after=choose_retry_after(call_state, routed.now))
     wait = max(
-        _estimate_wait(state, policy, routed, eligible),
+        _estimate_wait(state, policy, call_state, eligible),
         compute_allowance_wait(state, eligible, routed.now),
     )
     allowed = min(service.queue_limit, routed.deadline - routed.now)
@@ -103,8 +103,9 @@
 
 
 def _estimate_wait(
-    state: DaemonState, policy: Policy, routed: CallRouted, eligible: list[ServerState]
+    state: DaemonState, policy: Policy, call_state: CallState, eligible: list[ServerState]
 ) -> float:
+    routed = call_state.routed
     route = routed.route
     queue = state.waiting.find(routed.service.name)
     slots = count_usable_slots(state, eligible, queue.get_slot_time(long=route.long), routed.now)
@@ -113,7 +114,7 @@
     if policy.shared and not policy.granted:
         # The daemons of the zone share the slots and have similar queues.
         slots = max(1, slots // state.zone_daemons)
-    return queue.estimate_wait(route.priority, long=route.long, slots=slots)
+    return queue.estimate_wait(call_state, slots=slots)
 
 
 def _compute_wait_limit(state: DaemonState, call_state: CallState) -> float:
@@ -139,9 +140,8 @@
     state: DaemonState, policies: Mapping[str, Policy], queue: ServiceQueue, now: float
 ) -> list[Message]:
     messages: list[Message] = []
-    for call_id in queue.list_waiting():
-        call_state = state.calls.states.get(call_id)
-        if call_state is None or not call_state.queued:
+    for call_state in queue.list_waiting():
+        if state.calls.states.get(call_state.call.id) is not call_state or not call_state.queued:
             continue
         if not policies[call_state.routed.service.policy].shared:
             return messages
--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -131,6 +131,8 @@
         remaining=max(0.0, routed.deadline - now),
         attempt=call_state.attempts,
         avoided=tuple(sorted(call_state.avoided)),
+        organisation=call_state.organisation_name,
+        organisation_priority=call_state.organisation_priority,
     )
     return RequestSlot(owner=owner, request=request)
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -9,13 +9,13 @@
 from dotterelgate_core.slots import GrantSlot, SlotGrant
 
 if TYPE_CHECKING:
-    from collections import deque
     from collections.abc import Iterable, Mapping
 
     from dotterelgate_core.calls import CallState
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.policies import Policy
-    from dotterelgate_core.queues import ServiceQueue
+    from dotterelgate_core.queueing.fair_queues import FairQueue, WaitingCall
+    from dotterelgate_core.queueing.queues import ServiceQueue
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
@@ -55,10 +55,11 @@
     freed: SlotFreed,
 ) -> list[Message]:
     pool = state.servers.by_service.get(freed.service, [])
-    subqueue = _find_subqueue(state, queue, pool, freed.service)
-    if subqueue is None:
+    found = _find_next(state, queue, pool, freed)
+    if found is None:
         return []
-    call_state = _choose_call(state, subqueue, freed.now)
+    subqueue, waiting = found
+    call_state = waiting.call_state
     policy = policies[call_state.routed.service.policy]
     allowed = [each for each in pool if has_allowance(state, each, freed.now)]
     candidates = _select_candidates(allowed, call_state, freed.now, late=policy.late)
@@ -67,7 +68,7 @@
     chosen = policy.choose(candidates, call_state, freed.now)
     if chosen is None:
         return []
-    subqueue.remove(call_state.call.id)
+    subqueue.take(waiting)
     chosen.chosen_at = freed.now
     chosen.limit.use()
     if call_state.requester is not None:
@@ -76,42 +77,21 @@
     return dispatch_call(state, call_state, chosen, freed.now, _list_report(chosen, freed.now))
 
 
-def _find_subqueue(
-    state: DaemonState, queue: ServiceQueue, pool: list[ServerState], service: str
-) -> deque[int] | None:
-    configured = state.configuration.find_service(service)
+def _find_next(
+    state: DaemonState, queue: ServiceQueue, pool: list[ServerState], freed: SlotFreed
+) -> tuple[FairQueue, WaitingCall] | None:
+    """Find the call to serve next, and the subqueue that holds it."""
+    configured = state.configuration.find_service(freed.service)
     share = 1.0 if configured is None else configured.long_share
     slots = sum(each.server.slots for each in pool)
     long_allowed = queue.long_in_flight < max(1, slots * share)
     for subqueue in queue.list_subqueues(long_allowed=long_allowed):
-        _drop_ended(state, subqueue)
-        if subqueue:
-            return subqueue
+        waiting = subqueue.find_next(state.calls.states, freed.now)
+        if waiting is not None:
+            return subqueue, waiting
     return None
 
 
-def _choose_call(state: DaemonState, subqueue: deque[int], now: float) -> CallState:
-    """Choose the oldest call that can still reach its target, or else the oldest."""
-    first: CallState | None = None
-    for call_id in subqueue:
-        call_state = state.calls.states.get(call_id)
-        if call_state is None or not call_state.queued:
-            continue
-        if call_state.can_reach_target(now):
-            return call_state
-        first = first or call_state
-    assert first is not None
-    return first
-
-
-def _drop_ended(state: DaemonState, subqueue: deque[int]) -> None:
-    while subqueue:
-        call_state = state.calls.states.get(subqueue[0])
-        if call_state is not None and call_state.queued:
-            return
-        subqueue.popleft()
-
-
 def _select_candidates(
     pool: list[ServerState], call_state: CallState, now: float, *, late: bool
 ) -> list[ServerState]:
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from dotterelgate_core.configuration import Organisation
+    from dotterelgate_core.configuration import Organisation, Priority
     from dotterelgate_core.messages import Call, CallRouted
 
+    # Priority of the organisation, then that of the route; lower goes first.
+    Rank = tuple[int, Priority]
+
 __all__ = ["CALLER_NETWORK_SECONDS", "CallState", "CallTable"]
 
 # Network round trip between caller and daemon, which the target includes.
@@ -42,7 +45,9 @@
     :param may_have_run: whether an attempt ran, or may have
     :param failed_owners: number of owners passed over after a slot request
     :param requester: daemon of the zone that has the call and requests a slot
-    :param organisation: the caller's organisation, if its credential is known
+    :param organisation: the caller's organisation, if its credential is known here
+    :param organisation_name: its name, also for a call of another daemon, empty for none
+    :param organisation_priority: its priority within the range of ``Priority``
     """
 
     routed: CallRouted
@@ -66,6 +71,8 @@
     requester: str | None = None
     failed_owners: int = 0
     organisation: Organisation | None = None
+    organisation_name: str = ""
+    organisation_priority: int = 0
 
     def compute_wait_end(self, share: float) -> float:
         """Compute until when it may wait for a better backend server.
@@ -81,6 +88,11 @@
         target = self.routed.route.target or self.routed.route.timeout
         return now + EXPECTED_SLOWDOWN * self.work + CALLER_NETWORK_SECONDS <= self.arrived + target
 
+    @property
+    def rank(self) -> Rank:
+        """Its place in the order of waiting requests; lower goes first."""
+        return self.organisation_priority, self.routed.route.priority
+
     @property
     def call(self) -> Call:
         """The call itself."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
@@ -27,6 +27,11 @@
     NORMAL = 1
     LOW = 2
 
+    @classmethod
+    def clamp(cls, number: int) -> Priority:
+        """Return the priority nearest to a number."""
+        return cls(max(cls.HIGH, min(number, cls.LOW)))
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendServer:
--- a/packages/dotterelgate-core/src/dotterelgate_core/granting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.configuration import Priority
 from dotterelgate_core.messages import Call, CallRouted, CallSettled, Ticked
 from dotterelgate_core.slots import (
     DenySlot,
@@ -118,6 +119,8 @@
     call_state.work = request.work
     call_state.attempts = request.attempt
     call_state.avoided = set(request.avoided)
+    call_state.organisation_name = request.organisation
+    call_state.organisation_priority = Priority.clamp(request.organisation_priority)
     state.times.routed_at[request.service] = requested.now
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/organisations/identifying.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/organisations/identifying.py
@@ -6,6 +6,7 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.configuration import Priority
 from dotterelgate_core.messages import CallRouted, CallSettled
 
 if TYPE_CHECKING:
@@ -38,6 +39,8 @@
     credential = call_state.call.credential
     organisation = state.configuration.organisations.get(credential)
     call_state.organisation = organisation
+    call_state.organisation_name = organisation.name if organisation else ""
+    call_state.organisation_priority = Priority.clamp(organisation.priority if organisation else 0)
     if organisation is not None and organisation.problem:
         reason = f"the organisation {organisation.name} is out of service"
         return Refusal(codes.OUT_OF_SERVICE, reason)
--- a/packages/dotterelgate-core/src/dotterelgate_core/queues.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/queueing/queues.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from dotterelgate_core.configuration import Priority
+from dotterelgate_core.queueing.fair_queues import FairQueue
 
 if TYPE_CHECKING:
-    from dotterelgate_core.calls import CallState
+    from dotterelgate_core.calls import CallState, Rank
 
 __all__ = ["ServiceQueue", "WaitingTable"]
 
@@ -18,15 +17,11 @@
 STRAGGLER_FACTOR = 3.0
 
 
-def _make_subqueues() -> dict[Priority, deque[int]]:
-    return {priority: deque() for priority in Priority}
-
-
 @dataclass(kw_only=True, slots=True)
 class ServiceQueue:
     """Waiting requests of one service, with long work in separate subqueues.
 
-    :param short: call ids by priority, oldest first
+    :param short: subqueues by rank: the organisation's priority, then the route's
     :param long: the same for routes declared long
     :param long_in_flight: long requests dispatched and not yet answered
     :param short_time: smoothed seconds of slot time per short request
@@ -34,8 +29,8 @@
     :param typical_time: the same per request with stragglers capped
     """
 
-    short: dict[Priority, deque[int]] = field(default_factory=_make_subqueues)
-    long: dict[Priority, deque[int]] = field(default_factory=_make_subqueues)
+    short: dict[Rank, FairQueue] = field(default_factory=dict)
+    long: dict[Rank, FairQueue] = field(default_factory=dict)
     long_in_flight: int = 0
     short_time: float = 0.0
     long_time: float = 0.0
@@ -43,20 +38,21 @@
 
     def add(self, state: CallState) -> None:
         """Append a call to its subqueue."""
-        subqueues = self.long if state.routed.route.long else self.short
-        subqueues[state.routed.route.priority].append(state.call.id)
+        self._find_subqueue(state).add(state)
         state.queued = True
 
     def add_first(self, state: CallState) -> None:
-        """Put a retried call at the head of its subqueue."""
-        subqueues = self.long if state.routed.route.long else self.short
-        subqueues[state.routed.route.priority].appendleft(state.call.id)
+        """Put a retried call before the others of its organisation in its subqueue."""
+        self._find_subqueue(state).add_first(state)
         state.queued = True
 
-    def count_ahead(self, priority: Priority, *, long: bool) -> int:
-        """Count the waiting requests that would get a slot earlier."""
-        subqueues = self.long if long else self.short
-        return sum(len(subqueue) for each, subqueue in subqueues.items() if each <= priority)
+    def count_ahead(self, state: CallState) -> int:
+        """Count the waiting requests that would get a slot earlier than a new one."""
+        rank = state.rank
+        subqueues = self._select_kind(long=state.routed.route.long)
+        ahead = sum(len(subqueue) for each, subqueue in subqueues.items() if each < rank)
+        own = subqueues.get(rank)
+        return ahead + (own.count_ahead(state.organisation_name) if own is not None else 0)
 
     def update_slot_time(self, seconds: float, *, long: bool) -> None:
         """Update the smoothed slot time with that of one request."""
@@ -83,35 +79,48 @@
         """Return the smoothed seconds for which a request uses a slot."""
         return self.long_time if long else self.short_time
 
-    def estimate_wait(self, priority: Priority, *, long: bool, slots: float) -> float:
+    def estimate_wait(self, state: CallState, *, slots: float) -> float:
         """Estimate the seconds until a request that arrives now gets a slot."""
-        ahead = self.count_ahead(priority, long=long)
-        seconds = ahead * self.get_slot_time(long=long)
+        ahead = self.count_ahead(state)
+        seconds = ahead * self.get_slot_time(long=state.routed.route.long)
         if not seconds:
             return 0.0
         return seconds / slots if slots else float("inf")
 
-    def list_subqueues(self, *, long_allowed: bool) -> list[deque[int]]:
+    def list_subqueues(self, *, long_allowed: bool) -> list[FairQueue]:
         """List the subqueues to serve, the most urgent first."""
         subqueues = []
-        for priority in Priority:
-            subqueues.append(self.short[priority])
-            if long_allowed:
-                subqueues.append(self.long[priority])
+        for rank in sorted({*self.short, *self.long}):
+            if rank in self.short:
+                subqueues.append(self.short[rank])
+            if long_allowed and rank in self.long:
+                subqueues.append(self.long[rank])
         return subqueues
 
-    def list_waiting(self) -> list[int]:
-        """List the ids of all waiting calls; some may have ended already."""
-        return [
-            each
-            for kind in (self.short, self.long)
-            for subqueue in kind.values()
-            for each in subqueue
-        ]
+    def list_waiting(self) -> list[CallState]:
+        """List all waiting calls; some may have ended already."""
+        return [each for subqueue in self._list_all() for each in subqueue]
 
     def count_waiting(self) -> int:
         """Count all waiting requests."""
-        return sum(len(subqueue) for kind in (self.short, self.long) for subqueue in kind.values())
+        return sum(map(len, self._list_all()))
+
+    def count_flows(self) -> int:
+        """Count the organisations of waiting requests, once for each rank."""
+        return sum(len(subqueue.backlog) for subqueue in self._list_all())
+
+    def _find_subqueue(self, state: CallState) -> FairQueue:
+        subqueues = self._select_kind(long=state.routed.route.long)
+        subqueue = subqueues.get(state.rank)
+        if subqueue is None:
+            subqueue = subqueues[state.rank] = FairQueue()
+        return subqueue
+
+    def _select_kind(self, *, long: bool) -> dict[Rank, FairQueue]:
+        return self.long if long else self.short
+
+    def _list_all(self) -> list[FairQueue]:
+        return [*self.short.values(), *self.long.values()]
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -8,7 +8,7 @@
 from dotterelgate_core.calls import CallTable
 from dotterelgate_core.configuration import ConfigurationState
 from dotterelgate_core.owners import OwnerTable
-from dotterelgate_core.queues import WaitingTable
+from dotterelgate_core.queueing.queues import WaitingTable
 from dotterelgate_core.retries import BudgetTable
 from dotterelgate_core.servers import ServerTable
 from dotterelgate_core.splits import SplitTable
