Take the servers of evacuated zones out of use

Cause: the operator had no way to take a zone out of use without draining each of its servers.

Change: the key evacuate/ZONE of the configuration's topic evacuates a zone while it has a value. An evacuated server is not eligible and not probed. Servers of a zone that is taken back get requests in steps. An update of an earlier build, which names no zones, no longer counts as a read of the store.

The test's store now ends its reads of the configuration at a position, as the real one does.

--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -18,6 +18,7 @@
 from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.store import StoreRecord
 from dotterelgate_daemon.store_reader import StoreReader
+from dotterelgate_platform.configurations import read_evacuated_zone
 from subjects.store_daemon import ZONE, StoreDaemon, find
 
 SERVICES = ("a", "b", "c")
@@ -143,6 +144,7 @@
                 decode_registration=decode_registration,
                 decode_configuration=decode_configuration,
                 configuration_key=CONFIGURATION_KEY,
+                read_evacuated_zone=read_evacuated_zone,
             ),
             client=None,
             mesh=self.mesh,
@@ -194,6 +196,9 @@
         self._end_read()
 
     def _end_read(self) -> None:
+        # A read of the configuration's topic ends at a position too.
+        if self.reader.position is not None:
+            self.configuration._reader.position = self.reader.position
         self.store_reader.read()
         while self.outcomes:
             self.outcomes.pop().on_done()
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from dotterelgate_border.registry_datagrams import RegistryEntry, RegistryRequest, RegistryUpdate
+
 __all__ = [
     "CompressedDatagram",
     "ConfigurationPart",
@@ -109,42 +111,6 @@
     is_remote_zone: bool = False
 
 
-class RegistryEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One entry with its bytes as stored; ``None`` for a removed one.
-
-    :param era: era of the store in which it was written, 0 for that of the update's end
-    """
-
-    name: str
-    offset: int
-    value: bytes | None
-    era: int = 0
-
-
-class RegistryUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=3):
-    """Entries that a daemon read from the store, together with the configuration.
-
-    :param start: position from which on ``entries`` holds all changes
-    :param end: position up to which the sender has read
-    :param returned_ms: milliseconds since an outage of the store ended, -1 when the sender
-        reports none
-    :param age_ms: milliseconds since the read began that ended at ``end``
-    :param revision: revision of the newest configuration that the sender knows
-    :param era: era of the store of ``end``, 0 from a sender that knows none
-    :param start_era: era of ``start``
-    """
-
-    sender: str
-    start: int
-    end: int
-    returned_ms: int
-    entries: list[RegistryEntry]
-    age_ms: int = 0
-    revision: int = 0
-    era: int = 0
-    start_era: int = 0
-
-
 class ConfigurationRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=4):
     """Requests the configuration that the receiver has in force."""
 
@@ -167,13 +133,6 @@
     body: bytes
 
 
-class RegistryRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=11):
-    """Requests all entries, when the sender has none and cannot read the store."""
-
-    sender: str
-    address: str
-
-
 class SlotRequestDatagram(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=6):
     """Requests a slot for the sender's call; fields as in ``SlotRequest``."""
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.evacuations.returning import select_in_step
 from dotterelgate_core.limiting import has_allowance
 from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
 from dotterelgate_core.slots import GrantSlot, SlotGrant
@@ -120,7 +121,7 @@
     candidates = untried or eligible
     if not late:
         return candidates
-    return [each for each in candidates if each.count_free() > 0]
+    return [each for each in select_in_step(candidates, now) if each.count_free() > 0]
 
 
 def _grant(call_state: CallState, chosen: ServerState, now: float) -> list[Message]:
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -7,6 +7,7 @@
 from dotterelgate_core.admission import make_admission_filter
 from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
+from dotterelgate_core.evacuations.refusing import make_refusing_filter
 from dotterelgate_core.granting import (
     GrantingState,
     make_granting_filter,
@@ -45,9 +46,9 @@
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
     ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotRequested``, ``SlotGranted``,
     ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
-    ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
-    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
-    ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
+    ``SuspectCleared``, ``ServersEvacuated`` and ``Ticked``. It emits ``Dispatch``, ``Forward``,
+    ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``,
+    ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -72,6 +73,7 @@
         *key_filters,
         make_granting_filter(state, granting),
         make_asking_filter(state, AskingState(), policies),
+        make_refusing_filter(state),
         make_admission_filter(state, policies),
         *key_settling_filters,
         make_binding_filter(state, policies),
--- a/packages/dotterelgate-core/src/dotterelgate_core/limiting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/limiting.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.evacuations.returning import count_step_slots, is_returning
 from dotterelgate_core.owners import is_granted, is_ranked_first
 
 if TYPE_CHECKING:
@@ -35,8 +36,9 @@
     :param seconds_each: seconds for which a request uses a slot
     """
     slots = 0.0
+    in_steps = not all(is_returning(each, now) for each in pool)
     for server in pool:
-        usable: float = server.server.slots
+        usable: float = count_step_slots(server, now) if in_steps else server.server.slots
         if server.limit.is_named:
             share, _ = _find_share(state, server.service, now)
             usable = min(usable, server.limit.rate * share * seconds_each)
--- a/packages/dotterelgate-core/src/dotterelgate_core/registry.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/registry.py
@@ -214,6 +214,7 @@
     if before is not None and before.server == server:
         return []
     added = state.servers.add_or_update(registration.service, server)
+    added.is_evacuated = registration.zone in state.evacuations.list_evacuated()
     added.cold_until = read.now + registration.cold_seconds
     status = "is leaving; it gets no new requests" if registration.is_draining else "can be used"
     sentence = f"{read.name} {status} (entry {read.offset} from {read.source})"
--- a/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sampling.py
@@ -149,7 +149,9 @@
 
 def _is_due(state: DaemonState, sampling: SamplingState, server: ServerState, now: float) -> bool:
     name = server.server.name
-    if server.server.draining or name in sampling.pending or server.wants_pause(now):
+    if server.server.draining or server.is_evacuated or server.wants_pause(now):
+        return False
+    if name in sampling.pending:
         return False
     since = now - sampling.probed_at.get(name, float("-inf"))
     if since < (RETRY_INTERVAL_SECONDS if name in sampling.unanswered else MIN_INTERVAL_SECONDS):
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -41,6 +41,8 @@
     :param limit: the requests a second that it takes
     :param pauses: monotonic second until which it wants no requests of a daemon, by name;
         ``None`` for this daemon
+    :param is_evacuated: whether the operator evacuated its zone
+    :param returned_at: monotonic second at which its zone was taken back into use
     """
 
     server: BackendServer
@@ -61,14 +63,17 @@
     chosen_at: float = float("-inf")
     limit: NamedLimit = field(default_factory=NamedLimit)
     pauses: dict[str | None, float] = field(default_factory=dict)
+    is_evacuated: bool = False
+    returned_at: float = float("-inf")
 
     def is_eligible(self, now: float, requester: str | None = None) -> bool:
         """Return whether it may get new requests.
 
         :param requester: the daemon that would send them, ``None`` for this one
         """
-        is_usable = not self.list_leaving_sources() and self.paused_until <= now
-        return is_usable and not self.wants_pause(now, requester)
+        if self.is_evacuated or self.paused_until > now or self.list_leaving_sources():
+            return False
+        return not self.wants_pause(now, requester)
 
     def wants_pause(self, now: float, requester: str | None = None) -> bool:
         """Return whether it wants no requests of a daemon for now."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core.calls import CallTable
 from dotterelgate_core.configuration import ConfigurationState
+from dotterelgate_core.evacuations.state import EvacuationState
 from dotterelgate_core.owners import OwnerTable
 from dotterelgate_core.queues import WaitingTable
 from dotterelgate_core.retries import BudgetTable
@@ -79,6 +80,7 @@
     times: WorkTimes = field(default_factory=WorkTimes)
     owners: OwnerTable = field(default_factory=OwnerTable)
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    evacuations: EvacuationState = field(default_factory=EvacuationState)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ConfigurationChanged, ControlTicked
+from dotterelgate_core.evacuations.applying import make_evacuation_filter
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.registry import make_registry_filter
@@ -50,13 +51,15 @@
 
     It handles ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
     ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
-    ``LoadsReceived``, ``HeartbeatReceived``, ``ServerCheckRequested``, ``ProbeEnded`` and
-    ``ControlTicked``. It emits ``ReadStore``, ``StoreRestored``, ``Probe``, ``ServerEnded``,
-    ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
+    ``EvacuationsRead``, ``LoadsReceived``, ``HeartbeatReceived``, ``ServerCheckRequested``,
+    ``ProbeEnded`` and ``ControlTicked``. It emits ``ReadStore``, ``StoreRestored``, ``Probe``,
+    ``ServerEnded``, ``ServersEvacuated``, ``ConfigurationChanged``, ``SlotFreed`` and
+    ``Decision``.
     """
     return connect(
         _make_configuration_filter(state),
         make_reading_filter(state, registry, reading),
+        make_evacuation_filter(state),
         make_registry_filter(state, registry),
         make_sharing_filter(state),
         make_check_filter(state),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
@@ -1,4 +1,4 @@
-"""Follows the configuration in the keyed store and from peers."""
+"""Follows the operator's records in the keyed store, and the configuration from peers."""
 
 from __future__ import annotations
 
@@ -16,14 +16,17 @@
     encode_datagram,
 )
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.eras import Position
+from dotterelgate_core.evacuations.applying import EvacuationsRead
+from dotterelgate_core.evacuations.records import EvacuationRecords
 from dotterelgate_core.readers import select_behind
 from dotterelgate_core.store_control import ConfigurationStored
-from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader
+from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader, ReadOutcome
 from dotterelgate_daemon.store import StoreRecord, Topic
 
 if TYPE_CHECKING:
     from dotterelgate_border.datagrams import Datagram
-    from dotterelgate_daemon.keyed_reading import ReadOutcome, StoreAccess
+    from dotterelgate_daemon.keyed_reading import StoreAccess
 
 __all__ = ["ConfigurationFollower"]
 
@@ -35,7 +38,7 @@
 
 
 class ConfigurationFollower:
-    """Reads the configuration and exchanges it with peers."""
+    """Reads the configuration and the evacuated zones, and exchanges the former with peers."""
 
     def __init__(self, *, access: StoreAccess) -> None:
         self._state = access.state
@@ -46,13 +49,23 @@
         self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
         self._requested_at = float("-inf")
         self._dependency = Dependency(name="the configuration's topic")
+        self._evacuations = EvacuationRecords()
         self._reader = KeyedReader(
-            topic=Topic.CONFIGURATION, access=access, on_records=self._apply_records
+            topic=Topic.CONFIGURATION,
+            access=access,
+            on_records=self._apply_records,
+            on_listed=self._note_listing,
         )
 
     def read(self, outcome: ReadOutcome) -> None:
-        """Read the configuration, or the newer ones if it was read before."""
-        self._reader.read(self._dependency.watch(outcome))
+        """Read the operator's records, or the newer ones if they were read before."""
+        watched = self._dependency.watch(outcome)
+
+        def end() -> None:
+            self._emit_evacuations()
+            watched.on_done()
+
+        self._reader.read(ReadOutcome(on_done=end, on_failure=watched.on_failure))
 
     def receive(self, message: Datagram) -> None:
         """Handle a peer's message."""
@@ -74,9 +87,26 @@
 
     def _apply_records(self, records: list[StoreRecord]) -> None:
         for record in records:
-            if record.key == self._calls.configuration_key and record.value is not None:
+            zone = self._calls.read_evacuated_zone(record.key)
+            if zone is not None:
+                position = Position(era=record.era, offset=record.offset)
+                is_evacuated = record.value is not None
+                self._evacuations.note_record(zone, position, is_evacuated=is_evacuated)
+            elif record.key == self._calls.configuration_key and record.value is not None:
                 self._apply_document(record.value, "the store")
 
+    def _note_listing(self, keys: frozenset[str], end: Position) -> None:
+        zones = (self._calls.read_evacuated_zone(key) for key in keys)
+        self._evacuations.note_listing(frozenset(zone for zone in zones if zone is not None), end)
+
+    def _emit_evacuations(self) -> None:
+        position = self._reader.position
+        if position is None:
+            # The store was restored during the read; the next one lists all keys.
+            return
+        zones = self._evacuations.list_evacuated()
+        self._emit(EvacuationsRead(now=time.monotonic(), zones=zones, position=position))
+
     def _apply_document(self, document: bytes, source: str) -> None:
         configuration = self._calls.decode_configuration(document)
         if isinstance(configuration, Refusal):
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -40,6 +40,7 @@
         "stopping": state.peers.leaving,
         "in_flight": len(state.calls.states),
         "peers": sorted(state.peers.listed),
+        "evacuated_zones": sorted(state.evacuations.list_evacuated()),
         "servers": [_describe_server(each, now) for each in state.servers.states.values()],
         "suspects": [
             _describe_suspect(state, each, now) for each in state.suspects.list_suspected()
@@ -62,6 +63,7 @@
         "slots": server.server.slots,
         "load": server.count_load(),
         "leaving": server.list_leaving_sources(),
+        "evacuated": server.is_evacuated,
         "eligible": server.is_eligible(now),
         "failures": server.failures,
     }
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -84,6 +84,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.evacuated = Gauge(
+            "dotterelgate_evacuated",
+            "Evacuated zones, their backend servers, and servers that return to use in steps",
+            ["kind"],
+            registry=self.registry,
+        )
         self.suspects = Gauge(
             "dotterelgate_suspect_requests",
             "Requests under which backend servers ended, and those refused for it",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -20,6 +20,13 @@
 from dotterelgate_core.registry import RegistrationRead, RegistryListed, StoreEraNamed
 from dotterelgate_core.store_reading import REPEAT_SECONDS, StoreUpdateReceived
 from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader
+from dotterelgate_daemon.registry_updates import (
+    MAX_UPDATE_BYTES,
+    add_evacuations,
+    find_position,
+    read_evacuations,
+    split_entries,
+)
 from dotterelgate_daemon.store import StoreRecord, Topic
 
 if TYPE_CHECKING:
@@ -34,10 +41,6 @@
 
 logger = structlog.get_logger("store")
 
-# Entries that take more bytes are sent in several datagrams.
-MAX_UPDATE_BYTES = 48_000
-# Encoding overhead of an entry besides its name and value.
-ENTRY_OVERHEAD_BYTES = 16
 MILLISECONDS = 1000
 STORE = "the store"
 # Shortest interval between requests to peers while no backend server is known.
@@ -113,15 +116,7 @@
     def _send_in_parts(
         self, address: str, position: Position, entries: list[RegistryEntry]
     ) -> None:
-        batch: list[RegistryEntry] = []
-        size = 0
-        for entry in entries:
-            batch.append(entry)
-            size += _estimate_size(entry)
-            if size > MAX_UPDATE_BYTES:
-                self._send_entries(address, position, batch)
-                batch, size = [], 0
-        if batch:
+        for batch in split_entries(entries):
             self._send_entries(address, position, batch)
 
     def _send_entries(self, address: str, position: Position, entries: list[RegistryEntry]) -> None:
@@ -134,13 +129,13 @@
             era=position.era,
             start_era=position.era,
         )
-        self._mesh.send_message(address, update)
+        self._mesh.send_message(address, add_evacuations(self._state, update))
 
     def _note_listing(self, keys: frozenset[str], end: Position) -> None:
         now = time.monotonic()
         self._emit(RegistryListed(now=now, names=keys, end=end))
         for name in self._entries.keys() - keys:
-            if _find_position(self._entries[name]) < end:
+            if find_position(self._entries[name]) < end:
                 del self._entries[name], self._decoded[name]
                 removed = RegistryEntry(name=name, offset=end.offset - 1, value=None, era=end.era)
                 self._changes[name] = (now, removed)
@@ -217,7 +212,7 @@
         self._changes = {
             name: (at, entry)
             for name, (at, entry) in self._changes.items()
-            if now - at < REPEAT_SECONDS or _find_position(entry) >= start
+            if now - at < REPEAT_SECONDS or find_position(entry) >= start
         }
         return start
 
@@ -253,12 +248,16 @@
             era=end.era,
             start_era=start.era,
         )
-        return encode_datagram(update)
+        return encode_datagram(add_evacuations(self._state, update))
 
     def _apply_update(self, update: RegistryUpdate) -> None:
         now = time.monotonic()
         self._emit(StoreEraNamed(now=now, era=update.era, source=update.sender))
         era = self._registry.era
+        evacuations = read_evacuations(update, era, now)
+        if evacuations is not None:
+            # Before the entries, since servers of an evacuated zone may be among them.
+            self._emit(evacuations)
         start = Position(era=era.resolve(update.start_era), offset=update.start)
         end = Position(era=era.resolve(update.era), offset=update.end)
         records = [
@@ -277,7 +276,8 @@
         # A sender that stands in an earlier era has not read the restored store.
         has_no_gap = position is not None and end.era == era.current and position >= start
         if position is not None and has_no_gap:
-            if update.revision <= self._state.configuration.revision:
+            is_behind = update.revision > self._state.configuration.revision
+            if evacuations is not None and not is_behind:
                 received = StoreUpdateReceived(
                     now=now,
                     read_at=now - update.age_ms / MILLISECONDS,
@@ -290,12 +290,3 @@
         self._apply_records(records, update.sender)
         if is_remote and has_no_gap:
             self.announce_changes(now, select_relay_receivers(self._state, self._reading, now))
-
-
-def _find_position(entry: RegistryEntry) -> Position:
-    return Position(era=entry.era, offset=entry.offset)
-
-
-def _estimate_size(entry: RegistryEntry) -> int:
-    """Estimate the bytes that an entry takes in a datagram."""
-    return len(entry.value or b"") + len(entry.name) + ENTRY_OVERHEAD_BYTES
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
@@ -80,6 +80,8 @@
     :param list_newest: requests the newest record of each key that sorts after a key
     :param read_tail: requests records from an offset on
     :param append: requests to write one record
+    :param read_evacuated_zone: reads which availability zone a key of the configuration's topic
+        evacuates, ``None`` for a key of another kind
     :param read_era: reads the store's era from an answer's headers, 0 where it names none
     """
 
@@ -92,3 +94,4 @@
     decode_registration: Callable[[bytes], Registration | Refusal]
     read_era: Callable[[HeaderList], int]
     configuration_key: str
+    read_evacuated_zone: Callable[[str], str | None]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -5,13 +5,13 @@
 import random
 import time
 import uuid
-from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
 
 from dotterelgate_core.control_messages import ConfigurationChanged, ControlTicked, Probe
 from dotterelgate_core.engine import make_request_pipeline
+from dotterelgate_core.evacuations.applying import ServersEvacuated
 from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
@@ -39,6 +39,7 @@
 from dotterelgate_daemon.slot_exchange import SlotExchange
 from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.store_reader import StoreReader
+from dotterelgate_daemon.store_watches import watch_store_state
 from dotterelgate_daemon.suspect_exchange import REMINDER_SECONDS, SuspectExchange
 
 if TYPE_CHECKING:
@@ -47,11 +48,9 @@
     from dotterelgate_border.datagrams import Datagram
     from dotterelgate_border.settings import StoreDaemonSettings
     from dotterelgate_core.pipes import Filter, Message
-    from dotterelgate_core.servers import ServerState
     from dotterelgate_daemon.common_parts import CommonParts
     from dotterelgate_daemon.dialect import Dialect
     from dotterelgate_daemon.log_output import LineBuffer
-    from dotterelgate_daemon.metrics import Metrics
     from dotterelgate_daemon.store import StoreCalls
 
 __all__ = ["build_store_daemon"]
@@ -185,6 +184,7 @@
             Probe: prober.probe,
             ConfigurationChanged: self._change_configuration,
             SlotFreed: on_request_order,
+            ServersEvacuated: on_request_order,
             ServerEnded: on_request_order,
             Decision: lambda decision: base.write_decision(decision, ""),
         }
@@ -220,28 +220,6 @@
         self._base.metrics.configuration_problems.set(len(change.configuration.problems))
 
 
-def _watch_statements(state: DaemonState, metrics: Metrics) -> None:
-    kinds: dict[str, Callable[[ServerState], bool]] = {
-        "leaving": lambda server: server.reports_leaving,
-        "pause": lambda server: server.wants_pause(time.monotonic()),
-        "limit": lambda server: server.limit.is_named,
-    }
-
-    def count(states_it: Callable[[ServerState], bool]) -> float:
-        return float(sum(states_it(each) for each in state.servers.states.values()))
-
-    for kind, states_it in kinds.items():
-        metrics.statements.labels(kind=kind).set_function(partial(count, states_it))
-
-
-def _watch_suspects(state: DaemonState, metrics: Metrics) -> None:
-    table = state.suspects
-    metrics.suspects.labels(kind="suspected").set_function(lambda: len(table.list_suspected()))
-    metrics.suspects.labels(kind="refused").set_function(
-        lambda: len(table.list_refused(time.monotonic()))
-    )
-
-
 def _connect_control(
     settings: StoreDaemonSettings,
     calls: StoreCalls,
@@ -276,9 +254,7 @@
         answer_limit=settings.platform_answer_limit,
         channel="store",
     )
-    _watch_statements(state, base.metrics)
-    _watch_suspects(state, base.metrics)
-    base.metrics.configuration_age.set_function(lambda: time.monotonic() - reading.current_at)
+    watch_store_state(state, registry, reading, base.metrics)
     control.mesh = mesh = Mesh(
         address=settings.peers,
         incarnation=incarnation,
@@ -288,7 +264,6 @@
         metrics=base.metrics,
         emit=control.run,
     )
-    base.metrics.store_era.set_function(lambda: registry.era.current)
     access = StoreAccess(
         state=state, calls=calls, client=client, mesh=mesh, emit=control.run, era=registry.era
     )
