Apply the quotas of organisations over all daemons

An organisation's rate and burst were read and not applied: one with excessive load took the servers' slots from all others.

Each zone lends tokens of its own part of each quota, which follows from the number of its daemons that are heard, so that the parts never sum to more than the whole while zones cannot reach each other. A daemon asks the lender of its zone, then those of the others, for 0.1 s at most; over the quota a call is answered 429 with code 207 and Retry-After.

--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -45,6 +45,8 @@
             retries=BudgetTable(burst=RETRY_BURST),
             splits=SplitTable(random=random.Random(seed)),
         )
+        # The store's entries of daemons list this one alone.
+        self.state.quotas.view.entries = frozenset((name,))
         self._control = make_store_pipeline(
             self.state, self.registry, self.reading, SamplingState()
         )
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -14,6 +14,8 @@
     "Heartbeat",
     "LoadEntry",
     "LoadUpdate",
+    "QuotaGrant",
+    "QuotaRequest",
     "RegistryEntry",
     "RegistryRequest",
     "RegistryUpdate",
@@ -282,6 +284,29 @@
     suspects: list[SuspectEntry]
 
 
+class QuotaRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=16):
+    """Requests tokens of an organisation's quota; fields as in ``BorrowTokens``."""
+
+    sender: str
+    call_id: int
+    organisation: str
+    count: int = 1
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=17):
+    """Answers a request for tokens.
+
+    :param count: tokens lent, 0 for none
+    :param wait_ms: milliseconds after which there is one, -1 where the sender lends none
+    """
+
+    sender: str
+    call_id: int
+    organisation: str
+    count: int
+    wait_ms: int = 0
+
+
 Datagram = (
     Heartbeat
     | LoadUpdate
@@ -296,6 +321,8 @@
     | SlotDenialDatagram
     | SlotWithdrawalDatagram
     | SuspectUpdate
+    | QuotaRequest
+    | QuotaGrant
 )
 
 # Messages that need more than one packet are compressed: entries of a registry repeat each
--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -81,6 +81,7 @@
     metrics: Annotated[Address, _describe("address of the metrics for the platform")]
     retry_share: Annotated[float, _bound(0, 1, "retries allowed per request")] = 0.1
     retry_burst: Annotated[float, _bound(0, 100, "retries that a service can save up")] = 1.5
+    quota_window: Annotated[float, _bound(1, 60, "seconds over which quotas hold")] = 5.0
 
 
 def read_settings(path: Path, model: type[AnySettings]) -> AnySettings:
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Allowances that all daemons share: quotas of organisations."""
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
@@ -0,0 +1,136 @@
+"""Lenders of the zones, and what this daemon lends where it is one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.allowances.buckets import TokenBucket
+from dotterelgate_core.allowances.shares import update_shares
+from dotterelgate_core.owners import list_owners
+from dotterelgate_core.peers import rank_by_rendezvous
+
+if TYPE_CHECKING:
+    from dotterelgate_core.configuration import Organisation
+    from dotterelgate_core.messages import Decision
+    from dotterelgate_core.state import DaemonState
+
+__all__ = [
+    "find_organisation",
+    "lend_tokens",
+    "list_lenders",
+    "refresh_view",
+    "use_safe_share",
+]
+
+# Tokens beside rate and burst: zones whose buckets are full lose what the others lack. A tenth
+# of the quota and 20 requests are allowed in all; the rest covers tokens that are under way.
+EXTRA_SHARE = 0.02
+# The safe shares of all daemons together begin with this many tokens.
+SAFE_TOKENS = 10.0
+# Seconds without use for which the safe share grows; it is no store of unused tokens.
+SAFE_SECONDS = 1.0
+
+
+def find_organisation(state: DaemonState, name: str) -> Organisation | None:
+    """Find an organisation of the configuration in force."""
+    current = state.configuration.current
+    organisations = current.organisations if current is not None else None
+    return next((each for each in organisations or () if each.name == name), None)
+
+
+def list_lenders(state: DaemonState, organisation: str, now: float) -> list[str]:
+    """List the lender of each zone, that of the own zone first, without unresponsive ones."""
+    zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
+    subject = _name_subject(organisation)
+    ranked = [rank_by_rendezvous(subject, state.quotas.view.alive)]
+    # Daemons prefer different zones, so that no zone lends most of what others lack.
+    for zone in rank_by_rendezvous(f"{organisation}\0{state.name}", zones):
+        ranked.append(list_owners(state, subject, now, zone))
+    avoided = state.quotas.avoided_until
+    lenders = []
+    for names in ranked:
+        usable = [each for each in names if avoided.get(each, now) <= now]
+        lenders += usable[:1]
+    return lenders
+
+
+def _name_subject(organisation: str) -> str:
+    return f"quota/{organisation}"
+
+
+def _is_lender(state: DaemonState, organisation: str) -> bool:
+    ranked = rank_by_rendezvous(_name_subject(organisation), state.quotas.view.alive)
+    return ranked[:1] == [state.name]
+
+
+def refresh_view(state: DaemonState, now: float) -> list[Decision]:
+    """Update the shares, and forget the tokens that another daemon of the zone lends now.
+
+    :returns: a line where the share changed
+    """
+    if state.configuration.organisations is None:
+        return []
+    view = state.quotas.view
+    changed_at = view.changed_at
+    lines = update_shares(state, now)
+    if view.changed_at != changed_at:
+        _drop_lost_buckets(state)
+    return lines
+
+
+def _drop_lost_buckets(state: DaemonState) -> None:
+    lent = state.quotas.lent
+    for organisation in [each for each in lent if not _is_lender(state, each)]:
+        del lent[organisation]
+
+
+def lend_tokens(
+    state: DaemonState, organisation: Organisation, count: int, now: float
+) -> tuple[int, float] | None:
+    """Lend up to ``count`` tokens of the zone's part of a quota.
+
+    :returns: how many, and the seconds until there is one; ``None`` where another daemon lends
+    """
+    view = state.quotas.view
+    if not view.share or not _is_lender(state, organisation.name):
+        return None
+    rate = organisation.rate * view.share
+    extra = _compute_extra(state, organisation)
+    most = view.share * organisation.burst + extra
+    bucket = state.quotas.lent.get(organisation.name)
+    if bucket is None:
+        # A successor has no burst, only what grew since the same daemons are alive.
+        bucket = TokenBucket(level=extra, filled_at=view.changed_at)
+        state.quotas.lent[organisation.name] = bucket
+    bucket.refill(rate=rate, most=most, now=now)
+    taken = bucket.take(count)
+    return taken, 0.0 if taken else bucket.promise(rate)
+
+
+def _compute_extra(state: DaemonState, organisation: Organisation) -> float:
+    view = state.quotas.view
+    whole = organisation.rate * state.limits.quota_window + organisation.burst
+    single = 1.0 if view.has_majority else view.zone_part
+    return EXTRA_SHARE * whole * view.share + single
+
+
+def use_safe_share(
+    state: DaemonState, organisation: Organisation, now: float
+) -> tuple[bool, float]:
+    """Use a token of the part that this daemon has while no lender answers.
+
+    :returns: whether there was one, and the seconds until there is one
+    """
+    quotas = state.quotas
+    share = quotas.view.own_share
+    rate = organisation.rate * share
+    first = min(1.0, SAFE_TOKENS * share)
+    bucket = quotas.safe.get(organisation.name)
+    if bucket is None:
+        bucket = quotas.safe[organisation.name] = TokenBucket(level=first, filled_at=now)
+    bucket.filled_at = max(bucket.filled_at, now - SAFE_SECONDS)
+    bucket.refill(rate=rate, most=organisation.burst * share + first, now=now)
+    quotas.safe_used_at = now
+    if bucket.take(1):
+        return True, 0.0
+    return False, bucket.promise(rate)
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -43,6 +43,7 @@
     :param failed_owners: number of owners passed over after a slot request
     :param requester: daemon of the zone that has the call and requests a slot
     :param organisation: the caller's organisation, if its credential is known
+    :param has_token: whether it counts against the quota already
     """
 
     routed: CallRouted
@@ -66,6 +67,7 @@
     requester: str | None = None
     failed_owners: int = 0
     organisation: Organisation | None = None
+    has_token: bool = False
 
     def compute_wait_end(self, share: float) -> float:
         """Compute until when it may wait for a better backend server.
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -120,6 +120,9 @@
 ENDS_SERVERS = ResultCode(
     206, "ends_servers", 503, _NOT_RUN, "Backend servers ended while they had this request."
 )
+QUOTA_EXCEEDED = ResultCode(
+    207, "quota_exceeded", 429, _NOT_RUN, "The quota of the caller's organisation is used up."
+)
 NO_HOLDER = ResultCode(
     300, "no_holder", 503, _ATTEMPT, "No daemon holds the key's range at the moment."
 )
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.admission import make_admission_filter
+from dotterelgate_core.allowances.borrowing import make_quota_filter
+from dotterelgate_core.allowances.lending import make_lending_filter
 from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
 from dotterelgate_core.granting import (
@@ -45,9 +47,10 @@
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
     ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotRequested``, ``SlotGranted``,
     ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
-    ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
-    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
-    ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
+    ``SuspectCleared``, ``TokensRequested``, ``TokensLent`` and ``Ticked``. It emits ``Dispatch``,
+    ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``,
+    ``DenySlot``, ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``,
+    ``LendTokens``, ``QuotaApplied``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -58,6 +61,8 @@
     policies = {**make_policies(random, state.zone), **(extra_policies or {})}
     granting = GrantingState()
     key_filters = [make_holding_filter(state), make_owning_filter(state, policies)] if keyed else []
+    # Only a platform's configuration has organisations, and its daemons share no keys.
+    quota_filters = [] if keyed else [make_lending_filter(state), make_quota_filter(state)]
     # Daemons that share no keys share what they know of requests that end servers.
     evidence_filters = [] if keyed else [make_evidence_filter(state)]
     suspect_filters = [] if keyed else [make_suspect_filter(state)]
@@ -68,6 +73,7 @@
         make_observing_filter(state),
         make_settling_filter(state),
         make_identity_filter(state),
+        *quota_filters,
         *suspect_filters,
         *key_filters,
         make_granting_filter(state, granting),
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.allowances.table import QuotaTable
 from dotterelgate_core.calls import CallTable
 from dotterelgate_core.configuration import ConfigurationState
 from dotterelgate_core.owners import OwnerTable
@@ -32,12 +33,14 @@
     :param clock_error: seconds by which wall clocks of two VMs may differ
     :param holder_wait: seconds that a keyed request may wait for a holder
     :param retry_attempts: maximum number of dispatches of one request
+    :param quota_window: seconds over which the quotas of organisations hold
     """
 
     key_ranges: int = 32
     clock_error: float = 0.25
     holder_wait: float = 2.0
     retry_attempts: int = 3
+    quota_window: float = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,6 +82,7 @@
     times: WorkTimes = field(default_factory=WorkTimes)
     owners: OwnerTable = field(default_factory=OwnerTable)
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    quotas: QuotaTable = field(default_factory=QuotaTable)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
@@ -110,6 +110,7 @@
 
     def _note_listing(self, keys: frozenset[str], _end: Position) -> None:
         self._is_listed = self._own[0] in keys
+        self._access.state.quotas.view.entries = keys
 
     def _end_listing(self) -> None:
         if self._is_listed:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -90,6 +90,24 @@
             ["kind"],
             registry=self.registry,
         )
+        self.quota_calls = Counter(
+            "dotterelgate_quota_calls",
+            "Calls of organisations with a quota, by the source of their token, none if refused",
+            ["source"],
+            registry=self.registry,
+        )
+        self.quota_wait = Histogram(
+            "dotterelgate_quota_wait_seconds",
+            "Seconds that calls waited for a token or for its refusal",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.quota_share = Gauge(
+            "dotterelgate_quota_share",
+            "Part of each quota that the lender of this zone lends, and the safe share in use",
+            ["kind"],
+            registry=self.registry,
+        )
         self.control_bytes = Counter(
             "dotterelgate_control_bytes",
             "Bytes sent for control, by channel",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -34,6 +34,7 @@
 from dotterelgate_daemon.mesh import Mesh
 from dotterelgate_daemon.platform import PlatformClient
 from dotterelgate_daemon.prober import Prober
+from dotterelgate_daemon.quota_exchange import QuotaExchange
 from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.running import Daemon
 from dotterelgate_daemon.slot_exchange import SlotExchange
@@ -130,7 +131,7 @@
     return DaemonState(
         name=settings.name,
         zone=settings.zone,
-        limits=Limits(),
+        limits=Limits(quota_window=settings.quota_window),
         peers=PeerTable(name=settings.name),
         # Requests carry no keys here and queues have no owners, so nothing is leased.
         leases=LeaseTable(holder=settings.name, incarnation="", address="", length=1.0),
@@ -320,10 +321,13 @@
     )
     base.gateway.add_sinks(suspects.sinks)
     base.timers.subscribe(interval=REMINDER_SECONDS, call=suspects.remind)
+    quotas = QuotaExchange(state=state, mesh=mesh, metrics=base.metrics, emit=base.gateway.run)
+    base.gateway.add_sinks(quotas.sinks)
 
     def deliver_message(message: Datagram) -> None:
         exchange.receive(message)
         suspects.receive(message)
+        quotas.receive(message)
         entries.receive(message)
         configuration.receive(message)
 
