--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -48,6 +48,7 @@
     :param organisation: the caller's organisation, if its credential is known here
     :param organisation_name: its name, also for a call of another daemon, empty for none
     :param organisation_priority: its priority within the range of ``Priority``
+    :param has_token: whether it counts against the quota already
     """
 
     routed: CallRouted
@@ -73,6 +74,7 @@
     organisation: Organisation | None = None
     organisation_name: str = ""
     organisation_priority: int = 0
+    has_token: bool = False
 
     def compute_wait_end(self, share: float) -> float:
         """Compute until when it may wait for a better backend server.
