Keep one object for each running attempt of a call

A call kept the backend server, the time and the slowdown of one dispatch. A second attempt beside a slow one needs them for both, and each answer or failure must release the slot of its own attempt only. CallState.running holds them by backend server; an event of an attempt that is not running is dropped.

--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -153,8 +153,8 @@
         "slowdown": granted.grant.slowdown,
         "report_age_ms": round(granted.grant.report_age * 1000),
     }
-    call_state.expected_slowdown = granted.grant.slowdown
-    return dispatch_call(state, call_state, server, granted.now, facts)
+    slowdown = granted.grant.slowdown
+    return dispatch_call(state, call_state, server, granted.now, slowdown=slowdown, facts=facts)
 
 
 def _request_another(
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.calls import Attempt
 from dotterelgate_core.limiting import has_allowance
 from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
 from dotterelgate_core.slots import GrantSlot, SlotGrant
@@ -72,8 +73,14 @@
     chosen.limit.use()
     if call_state.requester is not None:
         return _grant(call_state, chosen, freed.now)
-    call_state.expected_slowdown = chosen.view.estimate_slowdown(freed.now, 1.0)
-    return dispatch_call(state, call_state, chosen, freed.now, _list_report(chosen, freed.now))
+    return dispatch_call(
+        state,
+        call_state,
+        chosen,
+        freed.now,
+        slowdown=chosen.view.estimate_slowdown(freed.now, 1.0),
+        facts=list_report(chosen, freed.now),
+    )
 
 
 def _find_subqueue(
@@ -127,7 +134,7 @@
     """Grant a slot to a call of another daemon, which dispatches it."""
     assert call_state.requester is not None
     call_state.queued = False
-    call_state.sent_at = now
+    call_state.granted_at = now
     sentence = _describe_choice(chosen)
     # Counted until the requester's next load update, so that the slot is not granted twice.
     chosen.view.add_peer_request(call_state.requester, now)
@@ -141,7 +148,7 @@
         "asker": call_state.requester,
         "asked_request": call_state.call.request_id,
         **_list_times(call_state, now),
-        **_list_report(chosen, now),
+        **list_report(chosen, now),
     }
     return [
         GrantSlot(requester=call_state.requester, call_id=call_state.call.id, grant=grant),
@@ -161,17 +168,23 @@
     call_state: CallState,
     chosen: ServerState,
     now: float,
+    *,
+    slowdown: float,
     facts: dict[str, object],
+    is_second: bool = False,
 ) -> list[Message]:
     """Dispatch a call of this daemon to a backend server.
 
+    :param slowdown: slowdown expected there
     :param facts: the basis of the choice, for the log
+    :param is_second: whether it is started beside an attempt that is slow
     """
     routed = call_state.routed
     state.servers.changed.add(chosen.server.name)
     call_state.queued = False
-    call_state.server = chosen.server.name
-    call_state.sent_at = now
+    call_state.running[chosen.server.name] = Attempt(
+        server=chosen.server.name, sent_at=now, expected_slowdown=slowdown, is_second=is_second
+    )
     call_state.attempts += 1
     chosen.in_flight += 1
     chosen.used_at = now
@@ -210,7 +223,8 @@
     }
 
 
-def _list_report(chosen: ServerState, now: float) -> dict[str, object]:
+def list_report(chosen: ServerState, now: float) -> dict[str, object]:
+    """List what a choice knows of a backend server's newest report, for the log."""
     view = chosen.view
     if view.report is None:
         return {}
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -10,7 +10,7 @@
     from dotterelgate_core.configuration import Organisation
     from dotterelgate_core.messages import Call, CallRouted
 
-__all__ = ["CALLER_NETWORK_SECONDS", "CallState", "CallTable"]
+__all__ = ["CALLER_NETWORK_SECONDS", "Attempt", "CallState", "CallTable"]
 
 # Network round trip between caller and daemon, which the target includes.
 CALLER_NETWORK_SECONDS = 0.016
@@ -18,13 +18,28 @@
 EXPECTED_SLOWDOWN = 1.5
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """A dispatch to a backend server that has not ended.
+
+    :param sent_at: monotonic second of the dispatch
+    :param expected_slowdown: slowdown expected then
+    :param is_second: whether it was started beside an attempt that is slow
+    """
+
+    server: str
+    sent_at: float
+    expected_slowdown: float
+    is_second: bool = False
+
+
 @dataclass(kw_only=True, slots=True)
 class CallState:
     """One call in progress.
 
     :param routed: the call with its route and time limit
-    :param server: backend server that it was sent to
-    :param sent_at: monotonic second of that dispatch
+    :param running: its attempts that have not ended, by backend server
+    :param granted_at: monotonic second at which it was granted a slot for another daemon
     :param peer: peer that it was forwarded to
     :param attempts: dispatches so far
     :param avoided: backend servers that failed it
@@ -35,7 +50,6 @@
     :param queued: whether it waits for a slot
     :param joined: whether it waits for the answer to another call with its key
     :param arrived: monotonic second at which it was routed first
-    :param expected_slowdown: slowdown expected at its dispatch
     :param unsent_attempts: dispatches of which nothing was sent
     :param admitted: whether it was admitted to a queue
     :param work: expected seconds on a backend server without slowdown
@@ -43,11 +57,13 @@
     :param failed_owners: number of owners passed over after a slot request
     :param requester: daemon of the zone that has the call and requests a slot
     :param organisation: the caller's organisation, if its credential is known
+    :param has_second: whether a second attempt was requested or started
+    :param relay_started: whether part of an attempt's answer went to the caller already
     """
 
     routed: CallRouted
-    server: str | None = None
-    sent_at: float = 0.0
+    running: dict[str, Attempt] = field(default_factory=dict)
+    granted_at: float = 0.0
     peer: str | None = None
     attempts: int = 0
     avoided: set[str] = field(default_factory=set)
@@ -58,7 +74,6 @@
     queued: bool = False
     joined: bool = False
     arrived: float = 0.0
-    expected_slowdown: float = 0.0
     unsent_attempts: int = 0
     admitted: bool = False
     work: float = 0.0
@@ -66,6 +81,13 @@
     requester: str | None = None
     failed_owners: int = 0
     organisation: Organisation | None = None
+    has_second: bool = False
+    relay_started: bool = False
+
+    @property
+    def server(self) -> str | None:
+        """The backend server of its oldest attempt that has not ended."""
+        return next(iter(self.running), None)
 
     def compute_wait_end(self, share: float) -> float:
         """Compute until when it may wait for a better backend server.
--- a/packages/dotterelgate-core/src/dotterelgate_core/granting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -63,7 +63,7 @@
         if isinstance(message, GrantSlot):
             call_state = state.calls.states.pop(message.call_id, None)
             if call_state is not None:
-                granting.granted[message.call_id] = (call_state.sent_at, message)
+                granting.granted[message.call_id] = (call_state.granted_at, message)
             return (message,)
         if isinstance(message, CallSettled):
             return _reply_settled(state, message)
--- a/packages/dotterelgate-core/src/dotterelgate_core/learning.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/learning.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from dotterelgate_core.calls import CallState
-    from dotterelgate_core.messages import ServerAnswered
+    from dotterelgate_core.calls import Attempt
+    from dotterelgate_core.messages import CallRouted, ServerAnswered
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
@@ -18,14 +18,11 @@
 def learn_from_answer(
     state: DaemonState,
     server: ServerState,
-    call_state: CallState,
+    routed: CallRouted,
+    attempt: Attempt,
     message: ServerAnswered,
-    seconds: float,
 ) -> None:
-    """Record the load, pace and success that an answer shows.
-
-    :param seconds: time from the dispatch to the answer
-    """
+    """Record the load, pace and success that the answer to an attempt shows."""
     load = message.report.load
     view = server.view
     if load is not None:
@@ -41,8 +38,8 @@
     if failed:
         view.has_unsent_failure = True
         return
-    routed = call_state.routed
-    slowdown = max(1.0, call_state.expected_slowdown, load.slowdown if load is not None else 1.0)
+    seconds = message.now - attempt.sent_at
+    slowdown = max(1.0, attempt.expected_slowdown, load.slowdown if load is not None else 1.0)
     usual = state.times.estimate(routed.service, routed.route)
     state.times.learn(routed.service, routed.route, seconds / slowdown)
     view.unsent_pace = seconds / slowdown / usual
--- a/packages/dotterelgate-core/src/dotterelgate_core/observing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/observing.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from dotterelgate_core.calls import CallState
+    from dotterelgate_core.calls import Attempt, CallState
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.state import DaemonState
 
@@ -35,20 +35,20 @@
 def _observe_answer(state: DaemonState, message: ServerAnswered) -> list[Message]:
     call_state = state.calls.states.get(message.call_id)
     server = state.servers.states.get(message.server)
-    if call_state is None:
+    attempt = free_slot(state, call_state, message.server) if call_state is not None else None
+    if call_state is None or attempt is None:
         return []
     if server is not None:
         if message.report.in_flight is not None:
             server.reported = message.report.in_flight
-    seconds = message.now - call_state.sent_at
+    seconds = message.now - attempt.sent_at
     queue = state.waiting.find(call_state.routed.service.name)
     if message.ran:
         queue.update_slot_time(seconds, long=call_state.routed.route.long)
         if server is not None and not call_state.routed.route.long:
             server.record_success(message.now, queue.cap_straggler(seconds))
-    free_slot(state, call_state, message.server)
     if server is not None:
-        learn_from_answer(state, server, call_state, message, seconds)
+        learn_from_answer(state, server, call_state.routed, attempt, message)
     freed = SlotFreed(now=message.now, service=call_state.routed.service.name)
     if server is None:
         return [message, freed]
@@ -65,24 +65,28 @@
 def _observe_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
     call_state = state.calls.states.get(message.call_id)
     server = state.servers.states.get(message.server)
-    if call_state is None:
+    attempt = free_slot(state, call_state, message.server) if call_state is not None else None
+    if call_state is None or attempt is None:
         return []
     if server is not None:
         server.record_failure(message.now)
         server.view.update_failure_share(failed=True, now=message.now)
         server.view.has_unsent_failure = True
-    free_slot(state, call_state, message.server)
     return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
 
 
-def free_slot(state: DaemonState, call_state: CallState, server_name: str) -> None:
-    """Release the slot that a call uses at its backend server."""
-    if call_state.server != server_name:
-        return
-    call_state.server = None
+def free_slot(state: DaemonState, call_state: CallState, server_name: str) -> Attempt | None:
+    """Release the slot that a call's attempt uses at a backend server.
+
+    :returns: the attempt, or ``None`` if the call has none there
+    """
+    attempt = call_state.running.pop(server_name, None)
+    if attempt is None:
+        return None
     state.servers.changed.add(server_name)
     server = state.servers.states.get(server_name)
     if server is not None and server.in_flight > 0:
         server.in_flight -= 1
     if call_state.routed.route.long:
         state.waiting.find(call_state.routed.service.name).long_in_flight -= 1
+    return attempt
