Decide on second attempts of slow requests

A request that is slower than the 95th percentile of its route, scaled by its server's slowdown, gets a second attempt at another server where slots are free. The first good answer is relayed and the other attempt cancelled; a failure leaves the other running. The owner answers SlotRequest.only_free at once. Off unless Limits.hedging_share is set.

--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -27,7 +27,7 @@
     from dotterelgate_core.policies import Policy
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["AskingState", "make_asking_filter"]
+__all__ = ["AskingState", "build_request", "make_asking_filter"]
 
 # A request is repeated after this time; an answer takes a few milliseconds.
 REPEAT_SECONDS = 0.03
@@ -116,10 +116,11 @@
         mark_admitted(state, call_state)
     call_state.queued = True
     asking.requests[routed.call.id] = PendingRequest(owner=owner, requested_at=routed.now)
-    return [_build_request(call_state, owner, routed.now)]
+    return [build_request(call_state, owner, routed.now)]
 
 
-def _build_request(call_state: CallState, owner: str, now: float) -> RequestSlot:
+def build_request(call_state: CallState, owner: str, now: float) -> RequestSlot:
+    """Build the order to request a slot for a call."""
     routed = call_state.routed
     request = SlotRequest(
         call_id=routed.call.id,
@@ -169,7 +170,7 @@
     pending.unusable += 1
     if pending.unusable < UNUSABLE_GRANTS_LIMIT:
         pending.requested_at = now
-        return [_build_request(call_state, pending.owner, now)]
+        return [build_request(call_state, pending.owner, now)]
     return _skip_owner(asking, call_state, now, "its grants cannot be used")
 
 
@@ -218,7 +219,7 @@
         return _skip_owner(asking, call_state, now, "it does not answer")
     pending.unanswered += 1
     pending.requested_at = now
-    return [_build_request(call_state, pending.owner, now)]
+    return [build_request(call_state, pending.owner, now)]
 
 
 def _skip_owner(
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -20,7 +20,7 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["dispatch_call", "make_binding_filter"]
+__all__ = ["dispatch_call", "grant_slot", "list_report", "make_binding_filter"]
 
 # Time past the deadline to await a keyed call's answer, so that a retry can receive it.
 FENCED_GRACE_SECONDS = 10.0
@@ -72,7 +72,7 @@
     chosen.chosen_at = freed.now
     chosen.limit.use()
     if call_state.requester is not None:
-        return _grant(call_state, chosen, freed.now)
+        return grant_slot(call_state, chosen, freed.now)
     return dispatch_call(
         state,
         call_state,
@@ -130,7 +130,7 @@
     return [each for each in candidates if each.count_free() > 0]
 
 
-def _grant(call_state: CallState, chosen: ServerState, now: float) -> list[Message]:
+def grant_slot(call_state: CallState, chosen: ServerState, now: float) -> list[Message]:
     """Grant a slot to a call of another daemon, which dispatches it."""
     assert call_state.requester is not None
     call_state.queued = False
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -57,7 +57,7 @@
     :param failed_owners: number of owners passed over after a slot request
     :param requester: daemon of the zone that has the call and requests a slot
     :param organisation: the caller's organisation, if its credential is known
-    :param has_second: whether a second attempt was requested or started
+    :param has_second: whether a second attempt was requested, started or denied
     :param relay_started: whether part of an attempt's answer went to the caller already
     """
 
@@ -103,6 +103,17 @@
         target = self.routed.route.target or self.routed.route.timeout
         return now + EXPECTED_SLOWDOWN * self.work + CALLER_NETWORK_SECONDS <= self.arrived + target
 
+    def allows_attempt(self, default: int) -> bool:
+        """Return whether another dispatch is within the limit of its route.
+
+        :param default: limit of routes that set none
+        """
+        return self.attempts < (self.routed.route.attempts or default)
+
+    def has_time(self, now: float) -> bool:
+        """Return whether a dispatch now is expected to be answered before the deadline."""
+        return now + self.work + CALLER_NETWORK_SECONDS <= self.routed.deadline
+
     @property
     def call(self) -> Call:
         """The call itself."""
@@ -119,10 +130,14 @@
     def add(self, routed: CallRouted) -> CallState:
         """Add a newly routed call."""
         state = CallState(routed=routed, arrived=routed.now)
-        self.states[routed.call.id] = state
-        heapq.heappush(self.deadlines, (routed.deadline, routed.call.id))
+        self.add_state(state)
         return state
 
+    def add_state(self, state: CallState) -> None:
+        """Add the state of a call."""
+        self.states[state.call.id] = state
+        heapq.heappush(self.deadlines, (state.routed.deadline, state.call.id))
+
     def has_queued(self) -> bool:
         """Return whether a call waits for a backend server or for an owner's answer."""
         return any(each.queued for each in self.states.values())
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -7,11 +7,15 @@
 from dotterelgate_core.admission import make_admission_filter
 from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
+from dotterelgate_core.finishing import make_finishing_filter
 from dotterelgate_core.granting import (
     GrantingState,
     make_granting_filter,
     make_reply_filter,
 )
+from dotterelgate_core.hedging.relaying import make_relay_filter
+from dotterelgate_core.hedging.starting import make_hedging_filter
+from dotterelgate_core.hedging.watching import make_watching_filter
 from dotterelgate_core.holding import make_holding_filter, make_key_settling_filter
 from dotterelgate_core.observing import make_observing_filter
 from dotterelgate_core.organisations.identifying import make_identity_filter
@@ -19,7 +23,7 @@
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.policies import make_policies
 from dotterelgate_core.routes import make_route_filter
-from dotterelgate_core.settling import make_finishing_filter, make_settling_filter
+from dotterelgate_core.settling import make_settling_filter
 from dotterelgate_core.suspecting import make_evidence_filter, make_suspect_filter
 
 if TYPE_CHECKING:
@@ -43,11 +47,12 @@
     """Build the pipeline that turns the events of calls into orders.
 
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
-    ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotRequested``, ``SlotGranted``,
-    ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
-    ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
-    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
-    ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
+    ``PeerAnswered``, ``PeerFailed``, ``RelayBegan``, ``SlotFreed``, ``SlotRequested``,
+    ``SlotGranted``, ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``,
+    ``SuspectsReceived``, ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``,
+    ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``,
+    ``DenySlot``, ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``,
+    ``CountSecondAttempt``, ``TickAt``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -67,14 +72,17 @@
         *evidence_filters,
         make_observing_filter(state),
         make_settling_filter(state),
+        make_relay_filter(state),
         make_identity_filter(state),
         *suspect_filters,
         *key_filters,
+        make_hedging_filter(state, policies),
         make_granting_filter(state, granting),
         make_asking_filter(state, AskingState(), policies),
         make_admission_filter(state, policies),
         *key_settling_filters,
         make_binding_filter(state, policies),
+        make_watching_filter(state),
         make_reply_filter(state, granting),
         make_finishing_filter(state),
     )
--- a/packages/dotterelgate-core/src/dotterelgate_core/granting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import codes
+from dotterelgate_core.calls import CallState
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.messages import Call, CallRouted, CallSettled, Ticked
 from dotterelgate_core.slots import (
@@ -24,7 +25,13 @@
     from dotterelgate_core.slots import SlotRequest
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["GrantingState", "make_granting_filter", "make_reply_filter"]
+__all__ = [
+    "GrantingState",
+    "build_call_state",
+    "make_granting_filter",
+    "make_reply_filter",
+    "route_request",
+]
 
 # Time for which a repeated request gets the same grant, since the first may be lost.
 GRANT_REPEAT_SECONDS = 1.0
@@ -92,13 +99,24 @@
     granting.granted.pop(request.call_id, None)
     if request.call_id in state.calls.states:
         return [QueueSlot(requester=requested.requester, call_id=request.call_id)]
+    routed = route_request(state, requested)
+    if isinstance(routed, CallRouted):
+        call_state = build_call_state(requested, routed)
+        state.calls.add_state(call_state)
+        state.times.routed_at[request.service] = requested.now
+    return [routed]
+
+
+def route_request(state: DaemonState, requested: SlotRequested) -> CallRouted | DenySlot:
+    """Route the call of a slot request, or deny it if this daemon has no such route."""
+    request = requested.request
     found = _find_route(state, request)
     if found is None:
         reason = f"the owner knows no route {request.route} of {request.service}"
         refusal = Refusal(codes.NO_CONFIGURATION, reason)
-        return [DenySlot(requester=requested.requester, call_id=request.call_id, refusal=refusal)]
+        return DenySlot(requester=requested.requester, call_id=request.call_id, refusal=refusal)
     service, route = found
-    routed = CallRouted(
+    return CallRouted(
         now=requested.now,
         wall=requested.wall,
         call=Call(id=request.call_id, method="", host="", path="", request_id=request.request_id),
@@ -106,19 +124,19 @@
         route=route,
         deadline=requested.now + request.remaining,
     )
-    _add_call(state, requested, routed)
-    return [routed]
 
 
-def _add_call(state: DaemonState, requested: SlotRequested, routed: CallRouted) -> None:
+def build_call_state(requested: SlotRequested, routed: CallRouted) -> CallState:
+    """Build the state of a call of another daemon."""
     request = requested.request
-    call_state = state.calls.add(routed)
-    call_state.requester = requested.requester
-    call_state.arrived = requested.now - request.waited
-    call_state.work = request.work
-    call_state.attempts = request.attempt
-    call_state.avoided = set(request.avoided)
-    state.times.routed_at[request.service] = requested.now
+    return CallState(
+        routed=routed,
+        requester=requested.requester,
+        arrived=requested.now - request.waited,
+        work=request.work,
+        attempts=request.attempt,
+        avoided=set(request.avoided),
+    )
 
 
 def _find_route(state: DaemonState, request: SlotRequest) -> tuple[Service, Route] | None:
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts of requests whose first attempt is slow."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/learning.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/learning.py
@@ -6,15 +6,21 @@
 
 if TYPE_CHECKING:
     from dotterelgate_core.calls import Attempt
-    from dotterelgate_core.messages import CallRouted, ServerAnswered
+    from dotterelgate_core.messages import CallRouted, ServerAnswered, ServerReport
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["FIRST_FAILURE_STATUS", "learn_from_answer"]
+__all__ = ["FIRST_FAILURE_STATUS", "find_slowdown", "learn_from_answer"]
 
 FIRST_FAILURE_STATUS = 500
 
 
+def find_slowdown(attempt: Attempt, report: ServerReport) -> float:
+    """Find the slowdown of an attempt that was answered, at least 1."""
+    reported = report.load.slowdown if report.load is not None else 1.0
+    return max(1.0, attempt.expected_slowdown, reported)
+
+
 def learn_from_answer(
     state: DaemonState,
     server: ServerState,
@@ -39,7 +45,7 @@
         view.has_unsent_failure = True
         return
     seconds = message.now - attempt.sent_at
-    slowdown = max(1.0, attempt.expected_slowdown, load.slowdown if load is not None else 1.0)
+    slowdown = find_slowdown(attempt, message.report)
     usual = state.times.estimate(routed.service, routed.route)
     state.times.learn(routed.service, routed.route, seconds / slowdown)
     view.unsent_pace = seconds / slowdown / usual
--- a/packages/dotterelgate-core/src/dotterelgate_core/observing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/observing.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import AnnounceLeaving
-from dotterelgate_core.learning import learn_from_answer
+from dotterelgate_core.hedging.answer_times import note_time
+from dotterelgate_core.hedging.second_attempts import CountSecondAttempt, SecondResult
+from dotterelgate_core.learning import FIRST_FAILURE_STATUS, find_slowdown, learn_from_answer
 from dotterelgate_core.messages import Decision, DispatchFailed, ServerAnswered, SlotFreed
 from dotterelgate_core.statements import apply_answer_statements
 
@@ -47,19 +49,26 @@
         queue.update_slot_time(seconds, long=call_state.routed.route.long)
         if server is not None and not call_state.routed.route.long:
             server.record_success(message.now, queue.cap_straggler(seconds))
+    is_good = message.ran and message.status < FIRST_FAILURE_STATUS
+    if is_good and not call_state.relay_started:
+        slowdown = find_slowdown(attempt, message.report)
+        note_time(state, call_state, attempt, seconds, slowdown)
     if server is not None:
         learn_from_answer(state, server, call_state.routed, attempt, message)
-    freed = SlotFreed(now=message.now, service=call_state.routed.service.name)
+    freed = [
+        *_count_second(attempt, SecondResult.WON if is_good else SecondResult.LOST),
+        SlotFreed(now=message.now, service=call_state.routed.service.name),
+    ]
     if server is None:
-        return [message, freed]
+        return [message, *freed]
     changes = apply_answer_statements(server, message)
     if not message.report.draining or server.reports_leaving:
-        return [message, *changes, freed]
+        return [message, *changes, *freed]
     announcement = AnnounceLeaving(server=message.server, is_leaving=True, wall=message.wall)
     server.apply_leaving_report(is_leaving=True, wall=message.wall)
     sentence = f"{message.server} is leaving, according to its answer; it gets no new requests"
     decision = Decision(part="settling", sentence=sentence, target=message.server)
-    return [message, *changes, announcement, decision, freed]
+    return [message, *changes, announcement, decision, *freed]
 
 
 def _observe_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
@@ -72,7 +81,15 @@
         server.record_failure(message.now)
         server.view.update_failure_share(failed=True, now=message.now)
         server.view.has_unsent_failure = True
-    return [message, SlotFreed(now=message.now, service=call_state.routed.service.name)]
+    return [
+        message,
+        *_count_second(attempt, SecondResult.LOST),
+        SlotFreed(now=message.now, service=call_state.routed.service.name),
+    ]
+
+
+def _count_second(attempt: Attempt, result: SecondResult) -> list[Message]:
+    return [CountSecondAttempt(result=result)] if attempt.is_second else []
 
 
 def free_slot(state: DaemonState, call_state: CallState, server_name: str) -> Attempt | None:
--- a/packages/dotterelgate-core/src/dotterelgate_core/retries.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/retries.py
@@ -36,6 +36,10 @@
         self.tokens -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Return a token that was spent on an attempt that was not started."""
+        self.tokens = min(self.tokens + 1.0, self.burst)
+
 
 @dataclass(kw_only=True, slots=True)
 class BudgetTable:
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -1,4 +1,4 @@
-"""Filters that settle each call: relay an answer, retry, or refuse."""
+"""Filter that settles each call: relay an answer, retry, or refuse."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import codes
-from dotterelgate_core.calls import CALLER_NETWORK_SECONDS
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.hedging.outcomes import cancel_attempt, cancel_others, continue_other
 from dotterelgate_core.learning import FIRST_FAILURE_STATUS
 from dotterelgate_core.messages import (
     CallerDisconnected,
@@ -20,13 +20,9 @@
     PeerFailed,
     RefuseCall,
     Relay,
-    ReleaseCall,
-    Replay,
     ServerAnswered,
-    SlotFreed,
     Ticked,
 )
-from dotterelgate_core.observing import free_slot
 from dotterelgate_core.retry_after import choose_retry_after
 
 if TYPE_CHECKING:
@@ -36,7 +32,7 @@
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_finishing_filter", "make_settling_filter"]
+__all__ = ["make_settling_filter"]
 
 
 # Failed connections of one call, with nothing sent, that do not count as attempts.
@@ -66,12 +62,19 @@
 
 def _settle_answer(state: DaemonState, message: ServerAnswered) -> list[Message]:
     call_state = state.calls.states[message.call_id]
+    failed = not message.ran or message.status >= FIRST_FAILURE_STATUS
+    if failed and call_state.running:
+        reason = f"{message.server} answered {message.status}"
+        return continue_other(call_state, message.server, reason, may_have_run=message.ran)
     if message.ran:
         if _is_retryable_answer(call_state, message) and _may_retry(state, call_state, message.now):
             call_state.may_have_run = True
             sentence = f"{message.server} answered {message.status}"
             return _retry_call(call_state, message.now, sentence, message.server)
-        return _relay(message.now, message.call_id, message.server, message.stored_answer)
+        return [
+            *cancel_others(state, call_state, message.server, message.now),
+            *_relay(message.now, message.call_id, message.server, message.stored_answer),
+        ]
     refusal = Refusal(codes.SHED, f"{message.server} said that it did not run the request")
     return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
 
@@ -85,6 +88,9 @@
 
 def _settle_failure(state: DaemonState, message: DispatchFailed) -> list[Message]:
     call_state = state.calls.states[message.call_id]
+    if call_state.running:
+        reason = message.refusal.reason
+        return continue_other(call_state, message.server, reason, may_have_run=message.sent)
     if message.relay_started:
         return _refuse(message.now, message.call_id, message.refusal, ran=None)
     may_have_run = message.sent and not call_state.routed.route.idempotent
@@ -152,12 +158,11 @@
 
 def _may_retry(state: DaemonState, call_state: CallState, now: float) -> bool:
     routed = call_state.routed
-    allowed = routed.route.attempts or state.limits.retry_attempts
-    if call_state.attempts >= allowed or routed.call.retried:
+    if not call_state.allows_attempt(state.limits.retry_attempts) or routed.call.retried:
         return False
     if routed.call.streamed or call_state.caller_disconnected and call_state.digest is None:
         return False
-    if now + call_state.work + CALLER_NETWORK_SECONDS > routed.deadline:
+    if not call_state.has_time(now):
         # A retry would end after the deadline: report this outcome while the caller waits.
         return False
     return state.retries.find(routed.service.name, routed.service.retry_share).spend()
@@ -258,11 +263,10 @@
 ) -> list[Message]:
     call_id = call_state.call.id
     messages: list[Message] = []
-    if call_state.server is not None or call_state.peer is not None:
-        messages.append(Cancel(call_id=call_id, server=call_state.server, peer=call_state.peer))
-    if call_state.server is not None:
-        free_slot(state, call_state, call_state.server)
-        messages.append(SlotFreed(now=now, service=call_state.routed.service.name))
+    if call_state.peer is not None:
+        messages.append(Cancel(call_id=call_id, peer=call_state.peer))
+    for server in list(call_state.running):
+        messages += cancel_attempt(state, call_state, server, now)
     call_state.queued = False
     ran = None if messages else False
     return [*messages, CallSettled(now=now, call_id=call_id, refusal=refusal, ran=ran)]
@@ -270,39 +274,3 @@
 
 def _refuse(now: float, call_id: int, refusal: Refusal, *, ran: bool | None) -> list[Message]:
     return [CallSettled(now=now, call_id=call_id, refusal=refusal, ran=ran)]
-
-
-def make_finishing_filter(state: DaemonState) -> Filter:
-    """Build the filter that turns settled calls into final orders and releases their state."""
-
-    def finish(message: Message) -> Iterable[Message]:
-        if isinstance(message, CallSettled):
-            return _finish_settled(state, message)
-        if isinstance(message, (RefuseCall, Replay)):
-            return _finish_answered(state, message)
-        if isinstance(message, Relay):
-            call_state = state.calls.states.pop(message.call_id, None)
-            if call_state is None or call_state.caller_disconnected:
-                return (ReleaseCall(call_id=message.call_id),)
-        return (message,)
-
-    return finish
-
-
-def _finish_settled(state: DaemonState, settled: CallSettled) -> list[Message]:
-    if settled.refusal is None:
-        return []
-    call_state = state.calls.states.pop(settled.call_id, None)
-    if call_state is None or call_state.caller_disconnected:
-        return [ReleaseCall(call_id=settled.call_id)]
-    refusal = settled.refusal
-    if call_state.may_have_run and refusal.outcome is codes.Outcome.NOT_RUN:
-        refusal = Refusal(codes.REPEAT_FAILED, refusal.reason)
-    return [RefuseCall(call_id=settled.call_id, refusal=refusal)]
-
-
-def _finish_answered(state: DaemonState, message: RefuseCall | Replay) -> list[Message]:
-    if isinstance(message, RefuseCall) and message.awaits_answer:
-        return [message]
-    state.calls.states.pop(message.call_id, None)
-    return [message]
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core.calls import CallTable
 from dotterelgate_core.configuration import ConfigurationState
+from dotterelgate_core.hedging.table import HedgingTable
 from dotterelgate_core.owners import OwnerTable
 from dotterelgate_core.queues import WaitingTable
 from dotterelgate_core.retries import BudgetTable
@@ -32,12 +33,16 @@
     :param clock_error: seconds by which wall clocks of two VMs may differ
     :param holder_wait: seconds that a keyed request may wait for a holder
     :param retry_attempts: maximum number of dispatches of one request
+    :param hedging_share: second attempts allowed for each request, 0 for none
+    :param hedging_slots: share of a service's slots that must be free for one
     """
 
     key_ranges: int = 32
     clock_error: float = 0.25
     holder_wait: float = 2.0
     retry_attempts: int = 3
+    hedging_share: float = 0.0
+    hedging_slots: float = 0.3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,6 +84,7 @@
     times: WorkTimes = field(default_factory=WorkTimes)
     owners: OwnerTable = field(default_factory=OwnerTable)
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    hedging: HedgingTable = field(default_factory=HedgingTable)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
