--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -13,7 +13,7 @@
     # Priority of the organisation, then that of the route; lower goes first.
     Rank = tuple[int, Priority]
 
-__all__ = ["CALLER_NETWORK_SECONDS", "CallState", "CallTable"]
+__all__ = ["CALLER_NETWORK_SECONDS", "Attempt", "CallState", "CallTable"]
 
 # Network round trip between caller and daemon, which the target includes.
 CALLER_NETWORK_SECONDS = 0.016
@@ -21,13 +21,28 @@
 EXPECTED_SLOWDOWN = 1.5
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """A dispatch to a backend server that has not ended.
+
+    :param sent_at: monotonic second of the dispatch
+    :param expected_slowdown: slowdown expected then
+    :param is_second: whether it was started beside an attempt that is slow
+    """
+
+    server: str
+    sent_at: float
+    expected_slowdown: float
+    is_second: bool = False
+
+
 @dataclass(kw_only=True, slots=True)
 class CallState:
     """One call in progress.
 
     :param routed: the call with its route and time limit
-    :param server: backend server that it was sent to
-    :param sent_at: monotonic second of that dispatch
+    :param running: its attempts that have not ended, by backend server
+    :param granted_at: monotonic second at which it was granted a slot for another daemon
     :param peer: peer that it was forwarded to
     :param attempts: dispatches so far
     :param avoided: backend servers that failed it
@@ -38,7 +53,6 @@
     :param queued: whether it waits for a slot
     :param joined: whether it waits for the answer to another call with its key
     :param arrived: monotonic second at which it was routed first
-    :param expected_slowdown: slowdown expected at its dispatch
     :param unsent_attempts: dispatches of which nothing was sent
     :param admitted: whether it was admitted to a queue
     :param work: expected seconds on a backend server without slowdown
@@ -49,11 +63,13 @@
     :param organisation_name: its name, also for a call of another daemon, empty for none
     :param organisation_priority: its priority within the range of ``Priority``
     :param has_token: whether it counts against the quota already
+    :param has_second: whether a second attempt was requested, started or denied
+    :param relay_started: whether part of an attempt's answer went to the caller already
     """
 
     routed: CallRouted
-    server: str | None = None
-    sent_at: float = 0.0
+    running: dict[str, Attempt] = field(default_factory=dict)
+    granted_at: float = 0.0
     peer: str | None = None
     attempts: int = 0
     avoided: set[str] = field(default_factory=set)
@@ -64,7 +80,6 @@
     queued: bool = False
     joined: bool = False
     arrived: float = 0.0
-    expected_slowdown: float = 0.0
     unsent_attempts: int = 0
     admitted: bool = False
     work: float = 0.0
@@ -75,6 +90,13 @@
     organisation_name: str = ""
     organisation_priority: int = 0
     has_token: bool = False
+    has_second: bool = False
+    relay_started: bool = False
+
+    @property
+    def server(self) -> str | None:
+        """The backend server of its oldest attempt that has not ended."""
+        return next(iter(self.running), None)
 
     def compute_wait_end(self, share: float) -> float:
         """Compute until when it may wait for a better backend server.
@@ -90,6 +112,17 @@
         target = self.routed.route.target or self.routed.route.timeout
         return now + EXPECTED_SLOWDOWN * self.work + CALLER_NETWORK_SECONDS <= self.arrived + target
 
+    def allows_attempt(self, default: int) -> bool:
+        """Return whether another dispatch is within the limit of its route.
+
+        :param default: limit of routes that set none
+        """
+        return self.attempts < (self.routed.route.attempts or default)
+
+    def has_time(self, now: float) -> bool:
+        """Return whether a dispatch now is expected to be answered before the deadline."""
+        return now + self.work + CALLER_NETWORK_SECONDS <= self.routed.deadline
+
     @property
     def rank(self) -> Rank:
         """Its place in the order of waiting requests; lower goes first."""
@@ -111,10 +144,14 @@
     def add(self, routed: CallRouted) -> CallState:
         """Add a newly routed call."""
         state = CallState(routed=routed, arrived=routed.now)
-        self.states[routed.call.id] = state
-        heapq.heappush(self.deadlines, (routed.deadline, routed.call.id))
+        self.add_state(state)
         return state
 
+    def add_state(self, state: CallState) -> None:
+        """Add the state of a call."""
+        self.states[state.call.id] = state
+        heapq.heappush(self.deadlines, (state.routed.deadline, state.call.id))
+
     def has_queued(self) -> bool:
         """Return whether a call waits for a backend server or for an owner's answer."""
         return any(each.queued for each in self.states.values())
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -16,6 +16,9 @@
     make_granting_filter,
     make_reply_filter,
 )
+from dotterelgate_core.hedging.relaying import make_relay_filter
+from dotterelgate_core.hedging.starting import make_hedging_filter
+from dotterelgate_core.hedging.watching import make_watching_filter
 from dotterelgate_core.holding import make_holding_filter, make_key_settling_filter
 from dotterelgate_core.observing import make_observing_filter
 from dotterelgate_core.organisations.identifying import make_identity_filter
@@ -47,13 +50,13 @@
     """Build the pipeline that turns the events of calls into orders.
 
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
-    ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotRequested``, ``SlotGranted``,
-    ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
-    ``SuspectCleared``, ``ServersEvacuated``, ``TokensRequested``, ``TokensLent`` and ``Ticked``. It
-    emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``,
-    ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``, ``CheckServer``,
-    ``AnnounceSuspects``, ``BorrowTokens``, ``LendTokens``, ``QuotaApplied``, ``RefuseCall`` and
-    ``Decision``.
+    ``PeerAnswered``, ``PeerFailed``, ``RelayBegan``, ``SlotFreed``, ``SlotRequested``,
+    ``SlotGranted``, ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``,
+    ``SuspectsReceived``, ``SuspectCleared``, ``ServersEvacuated``, ``TokensRequested``,
+    ``TokensLent`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
+    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
+    ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``, ``LendTokens``, ``QuotaApplied``,
+    ``CountSecondAttempt``, ``TickAt``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -75,16 +78,19 @@
         *evidence_filters,
         make_observing_filter(state),
         make_settling_filter(state),
+        make_relay_filter(state),
         make_identity_filter(state),
         *quota_filters,
         *suspect_filters,
         *key_filters,
+        make_hedging_filter(state, policies),
         make_granting_filter(state, granting),
         make_asking_filter(state, AskingState(), policies),
         make_refusing_filter(state),
         make_admission_filter(state, policies),
         *key_settling_filters,
         make_binding_filter(state, policies),
+        make_watching_filter(state),
         make_reply_filter(state, granting),
         make_finishing_filter(state),
     )
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -9,6 +9,7 @@
 from dotterelgate_core.calls import CallTable
 from dotterelgate_core.configuration import ConfigurationState
 from dotterelgate_core.evacuations.state import EvacuationState
+from dotterelgate_core.hedging.table import HedgingTable
 from dotterelgate_core.owners import OwnerTable
 from dotterelgate_core.queueing.queues import WaitingTable
 from dotterelgate_core.retries import BudgetTable
@@ -35,6 +36,8 @@
     :param holder_wait: seconds that a keyed request may wait for a holder
     :param retry_attempts: maximum number of dispatches of one request
     :param quota_window: seconds over which the quotas of organisations hold
+    :param hedging_share: second attempts allowed for each request, 0 for none
+    :param hedging_slots: share of a service's slots that must be free for one
     """
 
     key_ranges: int = 32
@@ -42,6 +45,8 @@
     holder_wait: float = 2.0
     retry_attempts: int = 3
     quota_window: float = 5.0
+    hedging_share: float = 0.0
+    hedging_slots: float = 0.3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,6 +90,7 @@
     suspects: SuspectTable = field(default_factory=SuspectTable)
     evacuations: EvacuationState = field(default_factory=EvacuationState)
     quotas: QuotaTable = field(default_factory=QuotaTable)
+    hedging: HedgingTable = field(default_factory=HedgingTable)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
