--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -55,6 +55,12 @@
     stop_linger: Annotated[float, _bound(0, 120, "seconds for the load balancer to react")] = 2.0
     connection_idle: Annotated[float, _bound(0.1, 3600)] = 30.0
     caller_connections: Annotated[int, _bound(1, 60_000)] = 2000
+    memory_limit: Annotated[
+        int, _bound(100_000_000, 1_099_511_627_776, "bytes of memory that the VM has")
+    ] = 200_000_000
+    descriptor_limit: Annotated[
+        int, _bound(500, 1_048_576, "descriptors that the process may have open")
+    ] = 4100
 
 
 class DaemonSettings(CommonSettings, frozen=True, kw_only=True):
