--- /dev/null
+++ b/features/caller_connections.feature
@@ -0,0 +1,75 @@
+Feature: Callers' connections pass whole bodies on, and free what their callers leave behind
+
+  # Writes ran with 28,672 bytes missing from the middle of their body.
+  Scenario Outline: A body <framed> that arrives while connections fail to open reaches a server whole
+    Given a daemon with 3 backend servers on fake connections
+    When a write of 9000 bytes <framed> arrives while <failed> connections fail one after the other
+    Then the next server gets the whole body once
+    And the caller gets the server's answer
+
+    Examples:
+      | framed        | failed |
+      | with a length | 0      |
+      | with a length | 2      |
+      | in chunks     | 1      |
+      | in chunks     | 2      |
+
+  Scenario Outline: A body of which a part was sent goes to no second server
+    Given a daemon with 3 backend servers on fake connections
+    When the connection breaks after 5000 of 9000 bytes of a <kind> were sent
+    Then no other server gets it, and the caller is told 502
+    And nothing is kept of it
+
+    Examples:
+      | kind  |
+      | write |
+      | read  |
+
+  # Each caller that gave up cost its body and a failure of the server, until processes ended.
+  Scenario Outline: A caller that leaves in the middle of its body costs neither memory nor a server
+    Given a daemon with 3 backend servers on fake connections
+    When 5 callers of a <kind> leave after 5000 of 9000 bytes, <moment>
+    Then nothing is kept of it
+    And the connections to servers are closed, and no server has a failure
+
+    Examples:
+      | kind  | moment                           |
+      | write | while the connection is opened   |
+      | write | after the connection was opened  |
+      | read  | while the connection is opened   |
+      | read  | after the connection was opened  |
+      | write | within chunks that are not valid |
+
+  Scenario: A caller that leaves before its body is large enough to be passed on costs no memory
+    Given a daemon with 3 backend servers on fake connections
+    When a caller leaves after 500 of 9000 bytes
+    Then nothing is kept of it
+
+  # A call that had been given a freed slot was never sent, and got 504.
+  Scenario: An order that can't be carried out keeps no other order back
+    Given a daemon with 3 backend servers on fake connections
+    When two calls end in one pass, and the reply to the first raises an error
+    Then the second is answered, and nothing is kept of it
+
+  # Writes to /read%2F1 took the route of /read/, which is safe, and ran twice.
+  Scenario Outline: A request to <path> takes the route of the longest prefix that begins it as sent
+    Given a daemon with 3 backend servers on fake connections
+    When a caller and a peer send a request to <path>
+    Then both take the route <route>
+    And the server gets the bytes <path>
+
+    Examples:
+      | path                  | route   |
+      | /read/1               | /read/  |
+      | /read/1?a=/write/     | /read/  |
+      | /read%2F1             | /       |
+      | /read%2f1             | /       |
+      | /write%2Fread/1       | /       |
+      | /write/..%2Fread/1    | /write/ |
+      | /read/../write/1      | /read/  |
+      | /read/%2e%2e/write/1  | /read/  |
+      | /read/./1             | /read/  |
+      | //read/1              | /       |
+      | /read//1              | /read/  |
+      | /re%61d/1             | /       |
+      | /READ/1               | /       |
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -18,8 +18,8 @@
     from dotterelgate_core.pipes import Message
     from dotterelgate_daemon.codec import AnswerHead
     from dotterelgate_daemon.dialect import AnswerTerms, Dialect
-    from dotterelgate_daemon.exchanges import PoolTable
     from dotterelgate_daemon.metrics import Metrics
+    from dotterelgate_daemon.pools import PoolTable
     from dotterelgate_daemon.timers import TimerService
 
 __all__ = ["Prober"]
@@ -85,9 +85,6 @@
         exchange = Exchange(
             method="GET",
             head=encode_request_head("GET", order.path, headers),
-            body=b"",
-            body_ended=True,
-            chunked=False,
             begin=begin,
             part=lambda part: None,
             completed=lambda: report_end(answered=True),
