--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -94,3 +94,15 @@
     When a caller sends a request that is refused and a write at once during a planned stop
     Then nothing is passed on, and the caller gets one response
     And nothing is kept of it
+
+  Scenario Outline: A planned stop of at most 6 s waits for responses on the way, less its reserve
+    Given a daemon with 3 backend servers on fake connections
+    And a caller whose response is <state>
+    When a planned stop has lasted <seconds> s
+    Then the process <ends>
+
+    Examples:
+      | state      | seconds | ends          |
+      | on the way | 5.4     | does not end  |
+      | on the way | 5.6     | ends          |
+      | received   | 4.0     | ends          |
--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -21,6 +21,13 @@
     When entry-1 is told to stop while a write of 4000 ms is in progress
     Then the write gets a complete answer and entry-1 ended after it
 
+  # Responses that were still in the process were cut off 1.9 s before the limit.
+  Scenario: A stop waits until slow callers have their responses
+    Given a system of 1 daemons and 2 backend servers whose daemons stop within 6 seconds
+    When entry-1 is told to stop while 3 callers read 1300000 bytes in 4 seconds
+    Then each of them got every byte
+    And entry-1 ended by itself within 6 seconds
+
   Scenario: The checks detect a daemon that does not wait for requests in progress
     Given a system of 1 daemons and 2 backend servers whose daemons stop within 0 seconds
     When entry-1 is told to stop while a write of 3000 ms is in progress
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -231,3 +231,21 @@
 def check_nothing_passed_on(context):
     assert not context.subject.streams.opened
     assert context.caller.written.count(b"HTTP/1.1") == 1
+
+
+@given("a caller whose response is {state}")
+def respond_last(context, state):
+    context.caller = context.subject.connect()
+    context.subject.context.is_stopping = True
+    context.caller.receive(encode_request(Request_Timeout_Ms="soon"))
+    context.caller.is_sending = state == "on the way"
+
+
+@when("a planned stop has lasted {seconds:f} s")
+def stop_for(context, seconds):
+    context.has_ended = context.subject.stop_for(seconds, limit=6.0)
+
+
+@then("the process {ends}")
+def check_ended(context, ends):
+    assert context.has_ended == (ends == "ends")
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import signal
+import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from steps.system_steps import start_system
@@ -12,6 +14,7 @@
 from dotterelgate_bench.fleet import wait_until
 
 LINGER_SECONDS = 1.0
+SLOW_WINDOW_BYTES = 8192
 LEAST_ANSWERS = 20
 # The stopping daemon accepts callers for 2 s.
 LONGEST_LOAD_SECONDS = 1.8
@@ -80,6 +83,44 @@
     context.answer = answers[0]
 
 
+def read_slowly(address, size, seconds):
+    """Read a response through a small window; returns the bytes of its body."""
+    host, port = address.split(":")
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_WINDOW_BYTES)
+        # Segments as on Ethernet; those of loopback are larger than the window.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+        sock.connect((host, int(port)))
+        sock.sendall(f"GET /stock/1?ms=1&bytes={size} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        received = bytearray()
+        began = time.monotonic()
+        try:
+            while part := sock.recv(SLOW_WINDOW_BYTES):
+                received += part
+                ahead = len(received) / size * seconds - (time.monotonic() - began)
+                time.sleep(max(0.0, ahead))
+        except ConnectionResetError:
+            pass
+    return len(received.partition(b"\r\n\r\n")[2])
+
+
+@when("{name} is told to stop while {count:d} callers read {size:d} bytes in {seconds:d} seconds")
+def stop_in_slow_reads(context, name, count, size, seconds):
+    process = context.system.fleet.daemons[name]
+    context.size = size
+    with ThreadPoolExecutor(count) as pool:
+        reads = [pool.submit(read_slowly, process.address, size, seconds) for _ in range(count)]
+        time.sleep(0.5)
+        process.send(signal.SIGTERM)
+        context.ended_after = wait_for_end(process, 15)
+        context.received = [each.result() for each in reads]
+
+
+@then("each of them got every byte")
+def check_every_byte(context):
+    assert context.received == [context.size] * len(context.received), context.received
+
+
 @then("the write gets a complete answer and {name} ended after it")
 def check_write(context, name):
     assert context.answer.status == 200, context.answer
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -9,12 +9,14 @@
 from dotterelgate_border.handover import HandedCall
 from dotterelgate_core.configuration import Route
 from dotterelgate_core.store_control import ConfigurationStored
-from dotterelgate_daemon.caller_connections import CallerConnection, ConnectionContext
+from dotterelgate_daemon.caller_connections import CallerConnection
+from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.dialect import DIALECT
 from dotterelgate_daemon.gateway import Gateway
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.peering import Peering
 from dotterelgate_daemon.pools import PoolTable
+from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.timers import PauseDetector
 from subjects.exchange import FakeStreams, OpenStream
 from subjects.store_daemon import StoreDaemon
@@ -32,6 +34,7 @@
         self.is_paused = False
         self.closed = lambda: None
         self.has_ended_sending = False
+        self.is_sending = False
         self.sock = SimpleNamespace(getpeername=lambda: ("127.0.0.1", 1))
 
     def write(self, data):
@@ -110,14 +113,16 @@
             on_decision=lambda decision, request_id: None,
             call_after=lambda *, delay, call: None,
         )
-        self.context = ConnectionContext(
+        self.server = CallerServer(
             streams=self.streams,
             gateway=self.gateway,
             head_limit=HEAD_LIMIT,
             body_limit=BODY_LIMIT,
+            connection_limit=100,
             pause_detector=PauseDetector(),
             call_after=lambda *, delay, call: self.timers.append((delay, call)),
         )
+        self.context = self.server._context
 
     def connect(self):
         """Accept a caller; returns its stream."""
@@ -125,6 +130,27 @@
         self.context.connections.add(connection)
         return connection._stream
 
+    def stop_for(self, seconds, *, limit):
+        """Stop as planned; returns whether the process ends after some seconds."""
+        ended = []
+        stop = GracefulStop(
+            linger=0.0,
+            limit=limit,
+            state=self.daemon.state,
+            caller_server=self.server,
+            gateway=self.gateway,
+            timers=SimpleNamespace(
+                subscribe=lambda *, interval, call: None,
+                call_after=lambda *, delay, call: call(),
+            ),
+            announce_stopping=lambda: None,
+            finish=lambda: ended.append(True),
+        )
+        stop.begin()
+        stop._started_at -= seconds
+        stop._check()
+        return bool(ended)
+
     def add_general_route(self):
         """Put a configuration in force that has a route for any path, too."""
         current = self.daemon.state.configuration.current
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -101,6 +101,11 @@
             refuse=self._refuse_invalid,
         )
 
+    @property
+    def is_active(self) -> bool:
+        """Whether a request is in progress, may be in transit, or has its response on the way."""
+        return not self._is_closing or self._stream.is_sending
+
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or may be in transit."""
         if time.monotonic() - self.idle_since < TRANSIT_SECONDS:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -51,9 +51,9 @@
         self._listener: socket.socket | None = None
         self._is_serving = False
 
-    def count_connections(self) -> int:
-        """Count the open connections."""
-        return len(self._context.connections)
+    def count_active(self) -> int:
+        """Count the connections that have, or may have, a request or a response on the way."""
+        return sum(each.is_active for each in self._context.connections)
 
     def announce_stop(self) -> None:
         """Close connections after the answer in progress."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/stopping.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/stopping.py
@@ -23,6 +23,9 @@
 
 CHECK_SECONDS = 0.05
 FLUSH_SECONDS = 0.2
+# The platform kills the process at the limit. Before it, the last check, the flush and the end of
+# the loop need time, also on a slow VM.
+RESERVE_SECONDS = 0.5
 RETIRE_SHARE = 0.5
 # Share of the limit after which no request is taken that may outlast it.
 LATE_SHARE = 0.5
@@ -32,11 +35,11 @@
     """Stops a daemon in steps.
 
     Callers are served while the platform's balancer still sends them; then the
-    listener closes; then requests in progress end and every leased range is
-    handed over; then the process ends.
+    listener closes; then requests in progress end, their responses leave the
+    process, and every leased range is handed over; then the process ends.
 
     :param linger: seconds for which the balancer may still send callers
-    :param limit: seconds until the process ends regardless of what is in progress
+    :param limit: seconds until the process has ended, regardless of what is in progress
     :param announce_stopping: notifies the peers
     :param count_leases: counts leases that are not handed over yet
     :param retire: releases leases that cannot be handed over
@@ -79,7 +82,7 @@
         self._started_at = now
         self._state.stop = PlannedStop(
             late_at=now + min(self._linger, self._limit * LATE_SHARE),
-            ends_at=now + self._limit - FLUSH_SECONDS,
+            ends_at=now + self._limit - RESERVE_SECONDS,
         )
         self._state.peers.leaving = True
         self._caller_server.announce_stop()
@@ -100,7 +103,7 @@
             # Ranges that cannot be handed over must accept no further requests.
             self._retire()
         remaining = self._list_remaining()
-        if remaining and elapsed < self._limit:
+        if remaining and elapsed < self._limit - RESERVE_SECONDS:
             return
         if remaining:
             logger.warning("stopping: the limit is reached", left=remaining)
@@ -116,11 +119,11 @@
         remaining = []
         if self._gateway.pending:
             remaining.append(f"{len(self._gateway.pending)} requests in progress")
-        if self._caller_server.count_connections():
+        if self._caller_server.count_active():
             self._caller_server.close()
-        connections = self._caller_server.count_connections()
+        connections = self._caller_server.count_active()
         if connections:
-            remaining.append(f"{connections} connections with requests")
+            remaining.append(f"{connections} connections with requests or unsent responses")
         leases = self._count_leases()
         if leases:
             remaining.append(f"{leases} leases not handed over")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
+import termios
+from array import array
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -93,6 +96,16 @@
         """Whether writers should wait for ``drained``."""
         return self._pending_bytes > HIGH_WATER_BYTES
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether the remote side has not acknowledged everything written."""
+        if not self.is_open or self._pending:
+            return self.is_open
+        count = array("i", [0])
+        # SIOCOUTQ has the same number.
+        fcntl.ioctl(self.sock, termios.TIOCOUTQ, count)
+        return count[0] > 0
+
     def write(self, data: bytes) -> None:
         """Send what the kernel accepts now, and buffer the rest."""
         if not self.is_open:
