Read connections again that were paused for a slow caller

A connection to a server that was paused because its caller read slowly went back to the pool paused when the rest of the response was in the same read. The next exchange on it read nothing until its time limit. The pool now resumes a connection that it takes back.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -106,3 +106,9 @@
       | on the way | 5.4     | does not end  |
       | on the way | 5.6     | ends          |
       | received   | 4.0     | ends          |
+
+  # The next request on such a connection got no response until its time limit.
+  Scenario: A connection that was paused for a slow caller is read again for the next one
+    Given a daemon with 1 backend servers on fake connections
+    When a caller that reads slowly gets a response of 3000 bytes in one piece
+    Then the connection to the server is kept and is not paused
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -249,3 +249,20 @@
 @then("the process {ends}")
 def check_ended(context, ends):
     assert context.has_ended == (ends == "ends")
+
+
+@when("a caller that reads slowly gets a response of {size:d} bytes in one piece")
+def respond_to_slow(context, size):
+    context.caller = context.subject.connect()
+    context.caller.receive(encode_request(path="/read/x"))
+    context.caller.is_full = True
+    context.server, ready = context.subject.take_opened()
+    ready()
+    context.server.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size))
+
+
+@then("the connection to the server is kept and is not paused")
+def check_not_paused(context):
+    assert context.server.is_open
+    assert not context.server.is_paused
+    check_nothing_kept(context)
--- a/features/subjects/exchange.py
+++ b/features/subjects/exchange.py
@@ -82,6 +82,9 @@
         """Close the stream."""
         self.is_open = False
 
+    def resume(self):
+        """Read again; nothing was paused."""
+
     def reset(self):
         """Reset the stream, as the other side would."""
         self.is_open = False
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/pools.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/pools.py
@@ -185,6 +185,8 @@
                 reuse = connection.note_failure(exchange.request_id)
             if reuse and connection.stream is not None and connection.stream.is_open:
                 connection.stream.drained = None
+                # A slow caller may have paused it; the next exchange has to read.
+                connection.stream.resume()
                 connection.idle_seconds = exchange.idle_seconds
                 connection.idle_since = time.monotonic()
                 self.idle.append(connection)
