Keep the keys of each listing of a topic apart

A read of the store may begin while an earlier one still waits for a page. Both listings collected their keys in one set, which the later one emptied; when the earlier one ended, servers of its first pages counted as removed. Each listing has its own keys and end now, and a listing that ends late doesn't move the position back.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -84,6 +84,21 @@
       | x is written           | k-0, k-1, k-2, x  |
       | x, y, z are written    | k-0, k-1, k-2, x, y, z |
 
+  # A read may begin while an earlier one still waits for a page; servers of its first pages,
+  # which the later listing had not reached, were removed.
+  Scenario Outline: A listing that overlaps another one names all keys
+    Given a store of 6 keys in pages of two
+    When a listing begins and gets <pages> pages before another one, and their pages arrive <order>
+    Then each listing names all 6 keys, and the position is 6
+
+    Examples:
+      | pages | order              |
+      | 0     | in turn            |
+      | 1     | in turn            |
+      | 2     | in turn            |
+      | 1     | the later's first  |
+      | 2     | the later's first  |
+
   Scenario: A restore between two pages of a listing begins the listing again
     Given a reader of a store in era 3 with 5 records that has received the first page
     When the store is restored to its first 3 records and x is written
--- a/features/steps/restored_steps.py
+++ b/features/steps/restored_steps.py
@@ -308,3 +308,32 @@
 def check_not_counted(context):
     assert context.counted and not any(context.counted), context.counted
     assert context.followers[1].reader.position == Position(era=2, offset=5)
+
+
+@given("a store of {count:d} keys in pages of two")
+def start_listing_store(context, count):
+    context.keys = [f"k-{number}" for number in range(count)]
+    context.store = RestoredStore(keys=context.keys, era=1)
+
+
+@when(
+    "a listing begins and gets {pages:d} pages before another one, and their pages arrive {order}"
+)
+def overlap_listings(context, pages, order):
+    store = context.store
+    store.begin_read()
+    for _ in range(pages):
+        store.answer()
+    store.begin_read()
+    while store.in_transit:
+        if order != "in turn":
+            store.in_transit.reverse()
+        store.answer()
+
+
+@then("each listing names all {count:d} keys, and the position is {position:d}")
+def check_listings(context, count, position):
+    store = context.store
+    assert store.listed == [(context.keys, position)] * 2, store.listed
+    assert store.reader.position.offset == position
+    assert store.ends == ["read", "read"]
--- a/features/subjects/restored_store.py
+++ b/features/subjects/restored_store.py
@@ -27,6 +27,7 @@
         self.read = []
         self.ends = []
         self.in_transit = []
+        self.listed = []
         self.listings = 0
         self.daemon = StoreDaemon()
         access = StoreAccess(
@@ -41,6 +42,7 @@
             topic=Topic.REGISTRY,
             access=access,
             on_records=lambda records: self.read.extend(each.key for each in records),
+            on_listed=lambda keys, end: self.listed.append((sorted(keys), end.offset)),
         )
 
     def restore(self, *, kept, rises=1):
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -21,7 +21,7 @@
     from dotterelgate_core.state import DaemonState
     from dotterelgate_daemon.mesh import Mesh
     from dotterelgate_daemon.platform import PlatformAnswer, PlatformClient
-    from dotterelgate_daemon.store import Listing, StoreCalls, StoreRecord, Tail, Topic
+    from dotterelgate_daemon.store import StoreCalls, StoreRecord, Tail, Topic
 
 __all__ = ["Dependency", "KeyedReader", "ReadOutcome", "StoreAccess"]
 
@@ -115,6 +115,17 @@
     on_failure: Callable[[str], None]
 
 
+@dataclass(kw_only=True)
+class _KeyList:
+    """What one listing has read; another may begin before it ends.
+
+    :param end: position up to which it is complete
+    """
+
+    keys: set[str] = field(default_factory=set)
+    end: Position = Position(era=0, offset=0)
+
+
 class KeyedReader:
     """Reads one topic: all keys first, then the records written after.
 
@@ -140,8 +151,6 @@
         self._client = access.client
         self._on_records = on_records
         self._on_listed = on_listed
-        self._keys: set[str] = set()
-        self._listing_end = Position(era=0, offset=0)
 
     def read(self, outcome: ReadOutcome) -> None:
         """Read the new records; list all keys the first time."""
@@ -161,43 +170,41 @@
 
     def _list_all(self, outcome: ReadOutcome) -> None:
         self.position = None
-        self._keys = set()
-        self._list("", outcome)
+        self._list("", _KeyList(), outcome)
 
-    def _list(self, after: str, outcome: ReadOutcome) -> None:
+    def _list(self, after: str, listed: _KeyList, outcome: ReadOutcome) -> None:
         request = self._calls.list_newest(self._topic, after)
         self._client.fetch(
             method=request.method,
             path=request.path,
             body=request.body,
-            on_answer=lambda answer: self._receive_page(after, answer, outcome),
+            on_answer=lambda answer: self._receive_page(after, answer, listed, outcome),
             on_failure=outcome.on_failure,
         )
 
-    def _receive_page(self, after: str, answer: PlatformAnswer, outcome: ReadOutcome) -> None:
+    def _receive_page(
+        self, after: str, answer: PlatformAnswer, listed: _KeyList, outcome: ReadOutcome
+    ) -> None:
         era = self._access.read_era(answer)
         page = self._calls.decode_listing(answer.status, answer.body)
         if era is None or isinstance(page, Refusal):
             outcome.on_failure(page.reason if isinstance(page, Refusal) else OLD_ERA)
             return
         if not after:
-            self._listing_end = Position(era=era, offset=page.end)
-        elif era != self._listing_end.era:
+            listed.end = Position(era=era, offset=page.end)
+        elif era != listed.end.era:
             self._list_all(outcome)
             return
-        self._apply_page(page, era)
+        listed.keys.update(record.key for record in page.records)
+        self._on_records(_assign_era(page.records, era))
         if not page.is_last and page.records:
-            self._list(page.records[-1].key, outcome)
+            self._list(page.records[-1].key, listed, outcome)
             return
         # Later pages may hold newer records; the tail from the first page's end repeats them.
-        self.position = self._listing_end
-        self._on_listed(frozenset(self._keys), self._listing_end)
+        self.position = max(self.position or listed.end, listed.end)
+        self._on_listed(frozenset(listed.keys), listed.end)
         outcome.on_done()
 
-    def _apply_page(self, page: Listing, era: int) -> None:
-        self._keys.update(record.key for record in page.records)
-        self._on_records(_assign_era(page.records, era))
-
     def _receive_tail(self, start: Position, answer: PlatformAnswer, outcome: ReadOutcome) -> None:
         era = self._access.read_era(answer)
         tail = self._calls.decode_tail(start.offset, answer.status, answer.body)
