Lend parts of tokens, and return tokens that no request used

Small organisations have less than a token in the bucket of each zone for most of the time: at 0.62 of the quotas 1 to 6 of 3,300 calls were refused though the three buckets together held a token. Lenders with a small part lend the rest of a token, and a borrower that cannot make a whole one returns it. A first request that was lost is repeated within 0.1 s.

--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -285,12 +285,16 @@
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=16):
-    """Requests tokens of an organisation's quota; fields as in ``BorrowTokens``."""
+    """Requests tokens of an organisation's quota; fields as in ``BorrowTokens``.
+
+    :param returned: tokens that no request used; the sender then requests none
+    """
 
     sender: str
     call_id: int
     organisation: str
-    count: int = 1
+    count: float = 1.0
+    returned: float = 0.0
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=17):
@@ -303,7 +307,7 @@
     sender: str
     call_id: int
     organisation: str
-    count: int
+    count: float
     wait_ms: int = 0
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/borrowing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/borrowing.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import codes
+from dotterelgate_core.allowances.buckets import ROUNDING
+from dotterelgate_core.allowances.holding import (
+    count_prefetched,
+    keep_tokens,
+    return_expired,
+    return_tokens,
+    take_held,
+)
 from dotterelgate_core.allowances.lenders import lend_tokens, list_lenders, use_safe_share
 from dotterelgate_core.allowances.messages import (
     BorrowTokens,
@@ -14,7 +21,7 @@
     TokensLent,
     TokenSource,
 )
-from dotterelgate_core.allowances.table import HeldTokens, PendingLoan
+from dotterelgate_core.allowances.table import PendingLoan
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.messages import CallRouted, CallSettled, Decision, Ticked
 
@@ -28,9 +35,9 @@
 
 __all__ = ["make_quota_filter"]
 
-# A lender that has not answered after this time is passed over; an answer takes a few
-# milliseconds, and ticks come every 20 ms.
-ANSWER_SECONDS = 0.025
+# A lender that has not answered by the first tick after this time is passed over; an answer
+# takes a few milliseconds. One that answers later is not lost: its token is held.
+ANSWER_SECONDS = 0.015
 # A call waits for its token no longer than this in all.
 WAIT_SECONDS = 0.1
 TICK_SECONDS = 0.02
@@ -39,11 +46,6 @@
 AVOIDED_SECONDS = 1.0
 # A lender that had no token is not asked again by this daemon for at most this long.
 EMPTY_SECONDS = 0.1
-# Tokens beside that of the call are those for this time at the recent use.
-PREFETCH_SECONDS = 0.25
-MAX_PREFETCH = 20
-EXPIRY_SECONDS = 0.5
-USE_SECONDS = 1.0
 # A caller of a daemon that reaches no lender does better at another one.
 SAFE_RETRY_SECONDS = 0.5
 
@@ -57,7 +59,8 @@
         if isinstance(message, TokensLent):
             return _receive(state, message)
         if isinstance(message, Ticked):
-            return [*_check_pending(state, message.now), message]
+            expired = return_expired(state, message.now)
+            return [*expired, *_check_pending(state, message.now), message]
         return (message,)
 
     return apply_quota
@@ -69,9 +72,7 @@
     if organisation is None or not organisation.rate or call_state.has_token:
         return [routed]
     now = routed.now
-    held = state.quotas.held.setdefault(organisation.name, HeldTokens())
-    _note_use(held, now)
-    if _take_held(held, now):
+    if take_held(state, organisation.name, now):
         return _pass(call_state, now, TokenSource.HELD, 0.0)
     pending = PendingLoan(
         organisation=organisation.name,
@@ -83,18 +84,6 @@
     return _ask_next(state, call_state, organisation, pending, now)
 
 
-def _note_use(held: HeldTokens, now: float) -> None:
-    held.use = 1.0 + held.use * math.exp((held.used_at - now) / USE_SECONDS)
-    held.used_at = now
-
-
-def _take_held(held: HeldTokens, now: float) -> bool:
-    while held.expiries:
-        if held.expiries.popleft() > now:
-            return True
-    return False
-
-
 def _ask_next(
     state: DaemonState,
     call_state: CallState,
@@ -104,36 +93,38 @@
 ) -> list[Message]:
     """Ask the next lender that may have a token, or settle the call without one."""
     call_id = call_state.call.id
+    name = organisation.name
     state.quotas.pending.pop(call_id, None)
     while pending.untried:
         lender = pending.untried.pop(0)
         if lender == state.name:
-            lent = lend_tokens(state, organisation, 1, now)
-            if lent is not None and lent[0]:
+            lent = lend_tokens(state, organisation, 1.0 - pending.collected, now)
+            if lent is not None and _collect(pending, *lent):
                 return _pass(call_state, now, TokenSource.OWN, now - pending.begun_at)
-            pending.waits += [lent[1]] if lent is not None else []
             continue
-        empty_until, ready_at = state.quotas.empty_until.get((lender, organisation.name), (now, 0))
+        empty_until, ready_at = state.quotas.empty_until.get((lender, name), (now, now))
         if empty_until > now:
-            pending.waits.append(max(0.0, ready_at - now))
+            pending.waits.append(ready_at - now)
             continue
         pending.lender = lender
         pending.asked_at = now
         state.quotas.pending[call_id] = pending
         call_state.queued = True
-        return [
-            BorrowTokens(
-                lender=lender,
-                call_id=call_id,
-                organisation=organisation.name,
-                count=1 + _count_prefetched(state, organisation.name),
-            )
-        ]
+        count = 1.0 - pending.collected
+        if not pending.collected:
+            count += count_prefetched(state, name)
+        order = BorrowTokens(lender=lender, call_id=call_id, organisation=name, count=count)
+        return [order]
     return _settle_without(state, call_state, organisation, pending, now)
 
 
-def _count_prefetched(state: DaemonState, organisation: str) -> int:
-    return min(MAX_PREFETCH, int(state.quotas.held[organisation].use * PREFETCH_SECONDS))
+def _collect(pending: PendingLoan, count: float, wait: float) -> bool:
+    """Add a loan to what lenders lent before; return whether it makes a whole token."""
+    pending.collected += count
+    if pending.collected + ROUNDING >= 1.0:
+        return True
+    pending.waits.append(wait)
+    return False
 
 
 def _pass(call_state: CallState, now: float, source: TokenSource, waited: float) -> list[Message]:
@@ -159,6 +150,7 @@
         wait = min(wait, SAFE_RETRY_SECONDS)
         sentence = f"no lender answers, and the safe share of {organisation.name} is used up"
     call_state.queued = False
+    returned = return_tokens(state, organisation.name, pending.collected, now)
     retry_after = min(wait, state.limits.quota_window)
     refusal = Refusal(codes.QUOTA_EXCEEDED, sentence, retry_after=retry_after)
     facts = {
@@ -170,6 +162,7 @@
         "revision": state.configuration.revision,
     }
     return [
+        *returned,
         QuotaApplied(source=TokenSource.NONE, waited=waited),
         Decision(part="quotas", sentence=sentence, call_id=call_state.call.id, facts=facts),
         CallSettled(now=now, call_id=call_state.call.id, refusal=refusal, ran=False),
@@ -182,33 +175,31 @@
     quotas.avoided_until.pop(lent.lender, None)
     pending = quotas.pending.get(lent.call_id)
     call_state = state.calls.states.get(lent.call_id)
-    is_awaited = (
-        pending is not None
-        and call_state is not None
-        and call_state.queued
-        and pending.organisation == lent.organisation
-    )
-    _keep_tokens(state, lent, lent.count - is_awaited)
-    if pending is None or call_state is None or not is_awaited:
-        return []
-    if lent.count:
+    if pending is None or call_state is None or not call_state.queued:
+        return keep_tokens(state, lent.organisation, lent.count, lent.now)
+    if lent.wait is None:
+        return _ask_after(state, call_state, pending, lent)
+    if _collect(pending, lent.count, lent.wait):
         del quotas.pending[lent.call_id]
-        return _pass(call_state, lent.now, TokenSource.LENDER, lent.now - pending.begun_at)
-    if lent.wait is not None:
-        pending.waits.append(lent.wait)
-        empty_until = lent.now + min(lent.wait, EMPTY_SECONDS)
-        quotas.empty_until[lent.lender, lent.organisation] = (empty_until, lent.now + lent.wait)
+        rest = pending.collected - 1.0
+        kept = keep_tokens(state, lent.organisation, rest, lent.now) if rest > ROUNDING else []
+        waited = lent.now - pending.begun_at
+        return [*kept, *_pass(call_state, lent.now, TokenSource.LENDER, waited)]
+    empty_until = lent.now + min(lent.wait, EMPTY_SECONDS)
+    quotas.empty_until[lent.lender, lent.organisation] = (empty_until, lent.now + lent.wait)
+    return _ask_after(state, call_state, pending, lent)
+
+
+def _ask_after(
+    state: DaemonState, call_state: CallState, pending: PendingLoan, lent: TokensLent
+) -> list[Message]:
+    """Ask the next lender, unless a late answer came while that was done already."""
     if lent.lender != pending.lender:
         return []
     assert call_state.organisation is not None
     return _ask_next(state, call_state, call_state.organisation, pending, lent.now)
 
 
-def _keep_tokens(state: DaemonState, lent: TokensLent, count: int) -> None:
-    held = state.quotas.held.setdefault(lent.organisation, HeldTokens())
-    held.expiries.extend([lent.now + EXPIRY_SECONDS] * max(0, count))
-
-
 def _check_pending(state: DaemonState, now: float) -> list[Message]:
     orders: list[Message] = []
     for call_id, pending in list(state.quotas.pending.items()):
@@ -232,7 +223,11 @@
         quotas.avoided_until[pending.lender] = now + AVOIDED_SECONDS
         sentence = f"{pending.lender} does not answer and is not asked for {AVOIDED_SECONDS:g} s"
         lines.append(Decision(part="quotas", sentence=sentence, target=pending.lender))
-    if now - pending.begun_at + ANSWER_SECONDS + TICK_SECONDS > WAIT_SECONDS:
+    if not pending.is_repeated:
+        # The request or its answer may only have been lost.
+        pending.is_repeated = True
+        pending.untried.append(pending.lender)
+    if now - pending.begun_at + TICK_SECONDS > WAIT_SECONDS:
         pending.untried.clear()
     assert call_state.organisation is not None
     return [*lines, *_ask_next(state, call_state, call_state.organisation, pending, now)]
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/buckets.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/buckets.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass
 
-__all__ = ["TokenBucket"]
+__all__ = ["ROUNDING", "TokenBucket"]
 
 # Sums of fractions of a token may fall short of a whole one by rounding.
 ROUNDING = 1e-9
+PROMISED_SECONDS = 1.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -33,22 +34,28 @@
         self.promised = max(0.0, self.promised - added)
         self.filled_at = now
 
-    def take(self, count: int) -> int:
-        """Take up to ``count`` whole tokens.
+    def take(self, count: float, *, is_divisible: bool = False) -> float:
+        """Take up to ``count`` tokens.
 
+        :param is_divisible: whether to take a part of one where there is no whole one
         :returns: how many there were
         """
-        taken = max(0, min(count, int(self.level + ROUNDING)))
+        needed = min(count, 1.0)
+        if self.level + ROUNDING >= needed:
+            taken = min(count, max(needed, float(int(self.level))))
+        else:
+            taken = max(0.0, self.level) if is_divisible else 0.0
         self.level -= taken
         return taken
 
     def promise(self, rate: float) -> float:
         """Compute the seconds until a caller who is refused now would get a token.
 
-        Callers refused one after the other get different times.
+        Callers refused one after the other get different times, so that they do not return
+        together. One that would have to wait for long has too little time to return.
         """
         if rate <= 0:
             return float("inf")
         wait = (1.0 - self.level + self.promised) / rate
-        self.promised += 1.0
+        self.promised = min(self.promised + 1.0, rate * PROMISED_SECONDS)
         return wait
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from dotterelgate_core.allowances.buckets import TokenBucket
+from dotterelgate_core.allowances.buckets import ROUNDING, TokenBucket
 from dotterelgate_core.allowances.shares import update_shares
 from dotterelgate_core.owners import list_owners
 from dotterelgate_core.peers import rank_by_rendezvous
@@ -15,6 +15,7 @@
     from dotterelgate_core.state import DaemonState
 
 __all__ = [
+    "accept_returned",
     "find_organisation",
     "lend_tokens",
     "list_lenders",
@@ -22,11 +23,17 @@
     "use_safe_share",
 ]
 
-# Tokens beside rate and burst: zones whose buckets are full lose what the others lack. A tenth
-# of the quota and 20 requests are allowed in all; the rest covers tokens that are under way.
+# The bound on a window is a tenth of the quota and 20 requests above rate and burst. Buckets may
+# hold this much of that more than the burst, all together, since a zone whose bucket is full
+# loses what another lacks, and a fraction of a token in each serves nobody. The rest covers
+# tokens that are under way or held, and lenders that replace each other.
 EXTRA_SHARE = 0.02
+EXTRA_TOKENS = 8.0
+# A zone whose part of a quota is smaller than this many requests a second also lends parts of
+# tokens, which make a whole one with those of other zones; larger parts soon grow a token.
+DIVISIBLE_RATE = 5.0
 # The safe shares of all daemons together begin with this many tokens.
-SAFE_TOKENS = 10.0
+SAFE_TOKENS = 6.0
 # Seconds without use for which the safe share grows; it is no store of unused tokens.
 SAFE_SECONDS = 1.0
 
@@ -42,7 +49,7 @@
     """List the lender of each zone, that of the own zone first, without unresponsive ones."""
     zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
     subject = _name_subject(organisation)
-    ranked = [rank_by_rendezvous(subject, state.quotas.view.alive)]
+    ranked = [rank_by_rendezvous(subject, state.quotas.view.able)]
     # Daemons prefer different zones, so that no zone lends most of what others lack.
     for zone in rank_by_rendezvous(f"{organisation}\0{state.name}", zones):
         ranked.append(list_owners(state, subject, now, zone))
@@ -59,7 +66,7 @@
 
 
 def _is_lender(state: DaemonState, organisation: str) -> bool:
-    ranked = rank_by_rendezvous(_name_subject(organisation), state.quotas.view.alive)
+    ranked = rank_by_rendezvous(_name_subject(organisation), state.quotas.view.able)
     return ranked[:1] == [state.name]
 
 
@@ -85,33 +92,47 @@
 
 
 def lend_tokens(
-    state: DaemonState, organisation: Organisation, count: int, now: float
-) -> tuple[int, float] | None:
+    state: DaemonState, organisation: Organisation, count: float, now: float
+) -> tuple[float, float] | None:
     """Lend up to ``count`` tokens of the zone's part of a quota.
 
     :returns: how many, and the seconds until there is one; ``None`` where another daemon lends
     """
+    bucket = _refill_bucket(state, organisation, now)
+    if bucket is None:
+        return None
+    rate = organisation.rate * state.quotas.view.share
+    taken = bucket.take(count, is_divisible=rate < DIVISIBLE_RATE)
+    is_enough = taken + ROUNDING >= min(count, 1.0)
+    return taken, 0.0 if is_enough else bucket.promise(rate)
+
+
+def accept_returned(
+    state: DaemonState, organisation: Organisation, count: float, now: float
+) -> None:
+    """Add tokens that a daemon returned, where this daemon lends."""
+    bucket = _refill_bucket(state, organisation, now)
+    if bucket is not None:
+        bucket.level += count
+
+
+def _refill_bucket(
+    state: DaemonState, organisation: Organisation, now: float
+) -> TokenBucket | None:
     view = state.quotas.view
     if not view.share or not _is_lender(state, organisation.name):
         return None
-    rate = organisation.rate * view.share
-    extra = _compute_extra(state, organisation)
-    most = view.share * organisation.burst + extra
+    whole = organisation.rate * state.limits.quota_window + organisation.burst
+    # At most one part of a zone has its majority, and may round up to a whole token.
+    first = EXTRA_SHARE * whole * view.share + (1.0 if view.has_majority else view.zone_part)
+    most = max(first, view.share * EXTRA_TOKENS) + view.share * organisation.burst
     bucket = state.quotas.lent.get(organisation.name)
     if bucket is None:
-        # A successor has no burst, only what grew since the same daemons are alive.
-        bucket = TokenBucket(level=extra, filled_at=view.changed_at)
+        # A successor has no burst, only what grew since the same daemons can lend.
+        bucket = TokenBucket(level=first, filled_at=view.changed_at)
         state.quotas.lent[organisation.name] = bucket
-    bucket.refill(rate=rate, most=most, now=now)
-    taken = bucket.take(count)
-    return taken, 0.0 if taken else bucket.promise(rate)
-
-
-def _compute_extra(state: DaemonState, organisation: Organisation) -> float:
-    view = state.quotas.view
-    whole = organisation.rate * state.limits.quota_window + organisation.burst
-    single = 1.0 if view.has_majority else view.zone_part
-    return EXTRA_SHARE * whole * view.share + single
+    bucket.refill(rate=organisation.rate * view.share, most=most, now=now)
+    return bucket
 
 
 def use_safe_share(
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.allowances.lenders import (
+    accept_returned,
     find_organisation,
     lend_tokens,
     refresh_view,
 )
-from dotterelgate_core.allowances.messages import LendTokens, TokensRequested
+from dotterelgate_core.allowances.messages import LendTokens, TokensRequested, TokensReturned
 from dotterelgate_core.messages import CallRouted, Ticked
 
 if TYPE_CHECKING:
@@ -27,6 +28,8 @@
     def lend(message: Message) -> Iterable[Message]:
         if isinstance(message, TokensRequested):
             return [*refresh_view(state, message.now), _answer(state, message)]
+        if isinstance(message, TokensReturned):
+            return [*refresh_view(state, message.now), *_accept(state, message)]
         if isinstance(message, (Ticked, CallRouted)):
             return [*refresh_view(state, message.now), message]
         return (message,)
@@ -46,3 +49,10 @@
         count=lent[0] if lent is not None else 0,
         wait=lent[1] if lent is not None else None,
     )
+
+
+def _accept(state: DaemonState, returned: TokensReturned) -> list[Message]:
+    organisation = find_organisation(state, returned.organisation)
+    if organisation is not None:
+        accept_returned(state, organisation, returned.count, returned.now)
+    return []
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/messages.py
@@ -9,9 +9,11 @@
     "BorrowTokens",
     "LendTokens",
     "QuotaApplied",
+    "ReturnTokens",
     "TokenSource",
     "TokensLent",
     "TokensRequested",
+    "TokensReturned",
 ]
 
 
@@ -30,13 +32,22 @@
     """Order to request tokens from the lender of a zone.
 
     :param call_id: call that needs the first of them
-    :param count: tokens wanted
+    :param count: tokens wanted, as a part of one where lenders lent the rest of it
     """
 
     lender: str
     call_id: int
     organisation: str
-    count: int
+    count: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReturnTokens:
+    """Order to return tokens to the lender of the own zone, since no request used them."""
+
+    lender: str
+    organisation: str
+    count: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,21 +58,30 @@
     borrower: str
     call_id: int
     organisation: str
-    count: int
+    count: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TokensReturned:
+    """A daemon returned tokens; fields as in ``ReturnTokens``."""
+
+    now: float
+    organisation: str
+    count: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LendTokens:
     """Order to answer a daemon's request for tokens.
 
-    :param count: tokens lent, 0 for none
+    :param count: tokens lent, 0 for none; less than one where there is no whole one
     :param wait: seconds after which there is one, ``None`` where this daemon lends none
     """
 
     borrower: str
     call_id: int
     organisation: str
-    count: int
+    count: float
     wait: float | None
 
 
@@ -73,7 +93,7 @@
     lender: str
     call_id: int
     organisation: str
-    count: int
+    count: float
     wait: float | None
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/shares.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/shares.py
@@ -6,7 +6,11 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.messages import Decision
-from dotterelgate_core.sharing import REMOTE_SILENCE_SECONDS, find_remote_interval_factor
+from dotterelgate_core.sharing import (
+    REMOTE_SILENCE_SECONDS,
+    find_remote_interval_factor,
+    find_zone_interval_factor,
+)
 
 if TYPE_CHECKING:
     from dotterelgate_core.peers import Peer
@@ -37,8 +41,9 @@
 
     :param started_at: monotonic second of the first update
     :param updated_at: monotonic second of the last update
-    :param changed_at: monotonic second since which the same daemons of the zone are alive
-    :param alive: live daemons of the own zone, this one included
+    :param changed_at: monotonic second since which the same daemons of the zone can lend
+    :param alive: number of live daemons of the own zone, this one included
+    :param able: those of them that have a configuration and so can lend
     :param zone_part: share of the own zone's daemons that are alive, 0 to 1
     :param share: part of all quotas that the lender of the own zone lends, 0 to 1
     :param own_share: part that this daemon may use by itself when no lender answers
@@ -48,7 +53,8 @@
     started_at: float | None = None
     updated_at: float = float("-inf")
     changed_at: float = float("-inf")
-    alive: frozenset[str] = frozenset()
+    alive: int = 0
+    able: frozenset[str] = frozenset()
     zone_part: float = 0.0
     share: float = 0.0
     own_share: float = 0.0
@@ -73,10 +79,12 @@
         return []
     if view.started_at is None:
         view.started_at = now
-    alive = frozenset(_list_alive(state, now))
-    if alive != view.alive or now - view.updated_at > PAUSE_SECONDS:
-        view.alive = alive
+    alive = _list_alive(state, now)
+    able = frozenset(each for each in alive if _can_lend(state, each))
+    if able != view.able or now - view.updated_at > PAUSE_SECONDS:
+        view.able = able
         view.changed_at = now
+    view.alive = len(alive)
     view.updated_at = now
     view.known = _count_known(state, now)
     _compute_shares(state, now)
@@ -84,7 +92,7 @@
         return []
     view.logged_share = view.share
     sentence = f"this zone lends {view.share:.3f} of the quotas"
-    facts = {"alive": len(alive), "zone": view.known.get(state.zone, 0), "all": _sum_known(view)}
+    facts = {"alive": view.alive, "zone": view.known.get(state.zone, 0), "all": _sum_known(view)}
     return [Decision(part="quotas", sentence=sentence, facts=facts)]
 
 
@@ -95,8 +103,7 @@
 def _compute_shares(state: DaemonState, now: float) -> None:
     view = state.quotas.view
     assert view.started_at is not None
-    alive = len(view.alive)
-    view.zone_part = min(1.0, alive / max(1, view.known.get(state.zone, 0)))
+    view.zone_part = min(1.0, view.alive / max(1, view.known.get(state.zone, 0)))
     if view.zone_part >= HALF:
         view.minority_since = None
     elif view.minority_since is None:
@@ -105,25 +112,28 @@
         view.share = view.own_share = 0.0
         return
     view.own_share = 1.0 / max(1, _sum_known(view))
-    view.share = alive * view.own_share
+    view.share = view.alive * view.own_share
     if view.minority_since is not None and now - view.minority_since > MINORITY_SECONDS:
         view.share *= MINORITY_FACTOR
         view.own_share *= MINORITY_FACTOR
 
 
 def _list_alive(state: DaemonState, now: float) -> list[str]:
-    alive = [
-        peer.name
-        for peer in state.peers.listed.values()
-        if peer.zone == state.zone and not peer.leaving and _is_heard(peer, now)
-    ]
+    # The first heartbeat of a daemon does not state when the next one follows.
+    unstated = SILENCE_SECONDS * find_zone_interval_factor(state)
+    alive = []
+    for peer in state.peers.listed.values():
+        stated = SILENCE_INTERVALS * peer.heartbeat_interval
+        silence = max(SILENCE_SECONDS, stated) if stated else unstated
+        if peer.zone == state.zone and not peer.leaving and now - peer.seen_at <= silence:
+            alive.append(peer.name)
     if not state.peers.leaving:
         alive.append(state.name)
     return alive
 
 
-def _is_heard(peer: Peer, now: float) -> bool:
-    return now - peer.seen_at <= max(SILENCE_SECONDS, SILENCE_INTERVALS * peer.heartbeat_interval)
+def _can_lend(state: DaemonState, name: str) -> bool:
+    return state.can_decide if name == state.name else state.peers.listed[name].can_decide
 
 
 def _count_known(state: DaemonState, now: float) -> dict[str, int]:
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/table.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/table.py
@@ -36,6 +36,8 @@
     :param asked_at: monotonic second of the request to ``lender``
     :param begun_at: monotonic second of the first request
     :param waits: seconds until a token, as lenders stated them
+    :param collected: part of a token that lenders lent so far
+    :param is_repeated: whether a lender that did not answer is asked twice
     """
 
     organisation: str
@@ -44,6 +46,8 @@
     asked_at: float
     begun_at: float
     waits: list[float] = field(default_factory=list)
+    collected: float = 0.0
+    is_repeated: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/quota_exchange.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/quota_exchange.py
@@ -10,8 +10,10 @@
     BorrowTokens,
     LendTokens,
     QuotaApplied,
+    ReturnTokens,
     TokensLent,
     TokensRequested,
+    TokensReturned,
 )
 
 if TYPE_CHECKING:
@@ -52,6 +54,7 @@
         self._emit = emit
         self.sinks: dict[type, Callable[[Message], None]] = {
             BorrowTokens: self._borrow,
+            ReturnTokens: self._borrow,
             LendTokens: self._lend,
             QuotaApplied: self._count,
         }
@@ -63,14 +66,7 @@
         """Handle a peer's message."""
         now = time.monotonic()
         if isinstance(message, QuotaRequest):
-            requested = TokensRequested(
-                now=now,
-                borrower=message.sender,
-                call_id=message.call_id,
-                organisation=message.organisation,
-                count=message.count,
-            )
-            self._emit(requested)
+            self._emit(read_request(message, now))
         elif isinstance(message, QuotaGrant):
             self._emit(read_grant(message, now))
 
@@ -80,14 +76,8 @@
         if peer is not None:
             self._mesh.send_message(peer.address, message)
 
-    def _borrow(self, order: BorrowTokens) -> None:
-        request = QuotaRequest(
-            sender=self._state.name,
-            call_id=order.call_id,
-            organisation=order.organisation,
-            count=order.count,
-        )
-        self._send(order.lender, request)
+    def _borrow(self, order: BorrowTokens | ReturnTokens) -> None:
+        self._send(order.lender, build_request(self._state.name, order))
 
     def _lend(self, order: LendTokens) -> None:
         self._send(order.borrower, build_grant(self._state.name, order))
@@ -102,6 +92,34 @@
         return quotas.view.own_share if is_used else 0.0
 
 
+def build_request(sender: str, order: BorrowTokens | ReturnTokens) -> QuotaRequest:
+    """Build the datagram that requests or returns tokens."""
+    if isinstance(order, ReturnTokens):
+        return QuotaRequest(
+            sender=sender,
+            call_id=0,
+            organisation=order.organisation,
+            count=0.0,
+            returned=order.count,
+        )
+    return QuotaRequest(
+        sender=sender, call_id=order.call_id, organisation=order.organisation, count=order.count
+    )
+
+
+def read_request(message: QuotaRequest, now: float) -> TokensRequested | TokensReturned:
+    """Convert a borrower's datagram to a message of the request pipeline."""
+    if message.returned:
+        return TokensReturned(now=now, organisation=message.organisation, count=message.returned)
+    return TokensRequested(
+        now=now,
+        borrower=message.sender,
+        call_id=message.call_id,
+        organisation=message.organisation,
+        count=message.count,
+    )
+
+
 def build_grant(sender: str, order: LendTokens) -> QuotaGrant:
     """Build the datagram that answers a request for tokens."""
     wait_ms = NOT_A_LENDER
