--- a/packages/dotterelgate-core/src/dotterelgate_core/queueing/fair_queues.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/queueing/fair_queues.py
@@ -61,6 +61,7 @@
     :param reachable: calls that could still reach their target when last checked
     :param late: calls that no longer can, by position
     :param cost: cost of all its calls
+    :param weight: its weight when it last joined the backlog or was served
     :param is_backlogged: whether it stands in the backlog
     """
 
@@ -70,6 +71,7 @@
     reachable: deque[WaitingCall] = field(default_factory=deque)
     late: list[WaitingCall] = field(default_factory=list)
     cost: float = 0.0
+    weight: float = 1.0
     is_backlogged: bool = False
 
     def __len__(self) -> int:
@@ -180,12 +182,12 @@
     def take(self, waiting: WaitingCall) -> None:
         """Remove the call that ``find_next`` returned, and charge its organisation for it."""
         flow = self.flows[waiting.flow]
-        charge = waiting.cost / self._compute_weight(flow.name)
+        flow.weight = self._compute_weight(flow.name)
         self._leave_backlog(flow)
         flow.remove(waiting)
         # A flow that was passed over, since its calls were late, keeps no claim for that time.
         self.virtual = max(self.virtual, flow.start)
-        flow.start = self.virtual + charge
+        flow.start = self.virtual + waiting.cost / flow.weight
         if len(flow):
             self._join_backlog(flow)
         else:
@@ -197,12 +199,10 @@
         own = self.flows.get(organisation)
         start, ahead = self.virtual, 0
         if own is not None:
-            weight = self._compute_weight(organisation)
-            start, ahead = max(start, own.start) + own.cost / weight, len(own)
+            start, ahead = max(start, own.start) + own.cost / own.weight, len(own)
         for flow in self.backlog:
             if flow is not own:
-                span = start - max(self.virtual, flow.start)
-                ahead += _count_before(flow, span * self._compute_weight(flow.name))
+                ahead += _count_before(flow, start - max(self.virtual, flow.start))
         return ahead
 
     def _compute_weight(self, organisation: str) -> float:
@@ -225,6 +225,7 @@
         if not flow.is_backlogged:
             self._last_sequence += 1
             flow.sequence = self._last_sequence
+            flow.weight = self._compute_weight(name)
             flow.start = max(flow.start, self.virtual)
             self._join_backlog(flow)
         flow.cost += cost
@@ -254,8 +255,10 @@
 
 
 def _count_before(flow: Flow, span: float) -> int:
-    """Count the calls of a flow that start within a span of its work in seconds."""
-    count = len(flow)
+    """Count the calls of a flow that start within a span of virtual time."""
     if span < 0.0:
         return 0
-    return min(count, floor(span * count / flow.cost) + 1) if flow.cost > 0.0 else count
+    count = len(flow)
+    if flow.cost <= 0.0:
+        return count
+    return min(count, floor(span * flow.weight * count / flow.cost) + 1)
