--- a/features/subjects/reading_zones.py
+++ b/features/subjects/reading_zones.py
@@ -109,6 +109,7 @@
             read_at = daemon.now - self.slow.get(name, 0.0)
             self._fresh_at[name] = max(self._fresh_at[name], read_at)
             daemon.configure(sum(at <= read_at for at in self._published_at))
+            self._note_read(daemon, read_at)
             daemon.run_control(StoreReadEnded(now=daemon.now))
             receivers = select_read_receivers(daemon.state, daemon.reading, daemon.now)
             self._send(daemon, receivers)
@@ -122,6 +123,7 @@
             if is_lost or not self._reaches(sender.state.name, name):
                 continue
             receiver = self.daemons[name]
+            self._note_update(sender, receiver)
             if receiver.state.configuration.revision < sender.state.configuration.revision:
                 continue
             self._fresh_at[name] = max(self._fresh_at[name], self._fresh_at[sender.state.name])
@@ -139,6 +141,12 @@
                     receiver, select_relay_receivers(receiver.state, receiver.reading, receiver.now)
                 )
 
+    def _note_read(self, daemon: StoreDaemon, read_at: float) -> None:
+        """Apply what else a daemon read."""
+
+    def _note_update(self, sender: StoreDaemon, receiver: StoreDaemon) -> None:
+        """Apply what else an update holds."""
+
     def _send_configuration(self, sender: StoreDaemon, receivers: list[str]) -> None:
         for name in select_behind(sender.state, receivers):
             if self._random.random() >= self.loss and self._reaches(sender.state.name, name):
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -198,6 +198,7 @@
             or previous.born != registration.born
             or previous.address != registration.address
             or previous.service != registration.service
+            or previous.zone != registration.zone
         )
 
     def _note_position(self, now: float, position: Position) -> Position:
