Keep cold servers within the warm-up limit of their service

Cause: a server that is cold crashes well above cold-per-s requests a second, and nothing limited what all daemons together sent it. An entry that said cold again in the same run was ignored.

Change: Service.warm_up_rate and warm_up_seconds; coldness by entries, Cold-Remaining-Ms of probes, peers' load updates, and heartbeats of owners to their zone. The own zone has 0.7 of the limit, the others equal parts of the rest, by the zones of the settings. Within a zone each daemon names one owner in its heartbeats, and an owner has the part of those that name it, so parts never sum to more than the whole when views differ. A cold server is chosen like the others up to that. mesh.py loses the conversion of load updates to load_messages.py.

--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -18,7 +18,7 @@
 from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.store import StoreRecord
 from dotterelgate_daemon.store_reader import StoreReader
-from dotterelgate_platform.configurations import read_evacuated_zone
+from dotterelgate_platform.evacuations import read_evacuated_zone
 from subjects.store_daemon import ZONE, StoreDaemon, find
 
 SERVICES = ("a", "b", "c")
--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -99,6 +99,7 @@
         era=0,
         write=0,
         address="",
+        cold=0.0,
     ):
         """Apply a backend server's registry entry."""
         registration = Registration(
@@ -109,6 +110,7 @@
             is_draining=draining,
             born=born,
             write=write,
+            cold_seconds=cold,
         )
         return self._apply_registration(name, offset, registration, era)
 
@@ -117,19 +119,30 @@
         return self._apply_registration(name, offset, None, era)
 
     def receive_heartbeat(
-        self, name="front-2", zone=ZONE, in_flight=None, *, can_decide=True, interval=0.0
+        self,
+        name="front-2",
+        zone=ZONE,
+        in_flight=None,
+        *,
+        can_decide=True,
+        interval=0.0,
+        incarnation="a",
+        votes=None,
+        cold=None,
     ):
         """Receive a heartbeat."""
         heartbeat = HeartbeatReceived(
             now=self.now,
             peer=name,
-            incarnation="a",
+            incarnation=incarnation,
             address="10.0.0.2:7200",
             zone=zone,
             is_leaving=False,
             in_flight=in_flight or {},
             can_decide=can_decide,
             interval=interval,
+            votes=votes or {},
+            cold=cold or {},
         )
         return self.run_control(heartbeat)
 
--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -43,6 +43,10 @@
     :param wants_reply: whether the receiver should answer with a heartbeat of its own
     :param can_decide: whether it has a configuration and backend servers
     :param interval_ms: milliseconds after which the receiver gets the next one, 0 for unknown
+    :param votes: daemon that the sender takes for the owner of each service with cold backend
+        servers, to the sender's zone only
+    :param cold_ms: milliseconds for which backend servers of the services that the sender owns are
+        still cold
     """
 
     sender: str
@@ -55,6 +59,8 @@
     wants_reply: bool = False
     can_decide: bool = True
     interval_ms: int = 0
+    votes: dict[str, str] = {}
+    cold_ms: dict[str, int] = {}
 
 
 class ServerStatements(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -66,6 +72,8 @@
         ``None`` where the sender was not told since the last update
     :param limit_age_ms: milliseconds since the answer that named it
     :param pause_ms: milliseconds for which it wants no requests of the sender
+    :param cold_ms: milliseconds for which it is still cold, -1 where the sender was not told
+    :param cold_age_ms: milliseconds since the answer that said so
     """
 
     born: int | None
@@ -73,6 +81,8 @@
     limit: float | None = None
     limit_age_ms: int = 0
     pause_ms: int = 0
+    cold_ms: int = -1
+    cold_age_ms: int = 0
 
 
 class LoadEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -34,6 +34,7 @@
 
 
 Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
+Zone = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
 Name = Annotated[str, msgspec.Meta(pattern=_NAME)]
 
 
@@ -79,6 +80,7 @@
     platform_answer_limit: Annotated[int, _bound(65_536, 1_073_741_824)] = 4_194_304
     store: Annotated[Address, _describe("address of the platform's store")]
     metrics: Annotated[Address, _describe("address of the metrics for the platform")]
+    zones: Annotated[dict[Zone, Zone], _describe("region of each availability zone")] = {}
     retry_share: Annotated[float, _bound(0, 1, "retries allowed per request")] = 0.1
     retry_burst: Annotated[float, _bound(0, 100, "retries that a service can save up")] = 1.5
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.evacuations.returning import select_in_step
-from dotterelgate_core.limiting import has_allowance
+from dotterelgate_core.limiting import has_allowance, use_allowance
 from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
 from dotterelgate_core.slots import GrantSlot, SlotGrant
 
@@ -70,7 +70,7 @@
         return []
     subqueue.remove(call_state.call.id)
     chosen.chosen_at = freed.now
-    chosen.limit.use()
+    use_allowance(chosen, freed.now)
     if call_state.requester is not None:
         return _grant(call_state, chosen, freed.now)
     call_state.expected_slowdown = chosen.view.estimate_slowdown(freed.now, 1.0)
--- a/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
@@ -115,6 +115,9 @@
     :param probe_path: path that answers probes
     :param connections: connection limit of each backend server over all daemons, where the
         servers register themselves
+    :param warm_up_rate: requests a second that a cold backend server takes from all daemons, 0
+        for no limit
+    :param warm_up_seconds: seconds for which a backend server is cold after its start
     """
 
     name: str
@@ -128,6 +131,8 @@
     retry_share: float = 0.1
     probe_path: str = "/_probe"
     connections: int = 0
+    warm_up_rate: float = 0.0
+    warm_up_seconds: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/control_messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/control_messages.py
@@ -141,6 +141,7 @@
     :param reported_name: its name, if the answer reports one
     :param limit: requests a second that it takes, as in ``ServerReport``
     :param refused: whether nothing listens at its address
+    :param cold_seconds: seconds for which it is still cold, as in ``ServerReport``
     """
 
     now: float
@@ -154,6 +155,7 @@
     reported_name: str | None = None
     limit: float | None = float("inf")
     refused: bool = False
+    cold_seconds: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/expected_time.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/expected_time.py
@@ -6,6 +6,7 @@
 
 from dotterelgate_core.calls import CALLER_NETWORK_SECONDS
 from dotterelgate_core.loads import CONNECTION_REUSE_SECONDS
+from dotterelgate_core.warm_up.coldness import is_limited_cold
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -66,8 +67,13 @@
         for state in states:
             factor = estimate_time_factor(state, now, usual=usual)
             cost = factor * compute_penalty_factor(state, now, zone=zone)
-            is_unused = now - state.chosen_at >= UNUSED_SECONDS
-            if not is_unused and not _is_connected(state, call, now):
+            if is_limited_cold(state, now):
+                if not _is_good_enough(call, factor, now):
+                    continue
+                # Its limit keeps it from more; up to that it is used like the others, though
+                # it has few connections.
+                cost /= COLD_FACTOR
+            elif now - state.chosen_at < UNUSED_SECONDS and not _is_connected(state, call, now):
                 cost *= unconnected
             cost *= 1.0 + JITTER_SHARE * random.random()
             if cost < least:
--- a/packages/dotterelgate-core/src/dotterelgate_core/limiting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/limiting.py
@@ -1,4 +1,4 @@
-"""Decisions that keep backend servers within the limits that they name."""
+"""Decisions that keep backend servers within the limits that they name or have while cold."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 
 from dotterelgate_core.evacuations.returning import count_step_slots, is_returning
 from dotterelgate_core.owners import is_granted, is_ranked_first
+from dotterelgate_core.warm_up.coldness import is_limited_cold
+from dotterelgate_core.warm_up.shares import compute_share
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -17,17 +19,35 @@
     "compute_allowance_wait",
     "count_usable_slots",
     "has_allowance",
+    "use_allowance",
 ]
 
 
 def has_allowance(state: DaemonState, server: ServerState, now: float) -> bool:
     """Return whether the limit of a backend server lets this daemon choose it."""
+    return _has_named_allowance(state, server, now) and _has_warm_up_allowance(state, server, now)
+
+
+def use_allowance(server: ServerState, now: float) -> None:
+    """Count one request against the limits of a backend server."""
+    server.limit.use()
+    if is_limited_cold(server, now):
+        server.warm_up.allowance -= 1.0
+
+
+def _has_named_allowance(state: DaemonState, server: ServerState, now: float) -> bool:
     if not server.limit.is_named:
         return True
     share, choosers = _find_share(state, server.service, now)
     return server.limit.refill(share, now, is_kept=choosers == 1) >= 1.0
 
 
+def _has_warm_up_allowance(state: DaemonState, server: ServerState, now: float) -> bool:
+    if not is_limited_cold(server, now):
+        return True
+    return server.warm_up.refill(compute_share(state, server, now), now) >= 1.0
+
+
 def count_usable_slots(
     state: DaemonState, pool: Sequence[ServerState], seconds_each: float, now: float
 ) -> float:
@@ -42,6 +62,9 @@
         if server.limit.is_named:
             share, _ = _find_share(state, server.service, now)
             usable = min(usable, server.limit.rate * share * seconds_each)
+        if is_limited_cold(server, now):
+            rate = server.warm_up.rate * compute_share(state, server, now)
+            usable = min(usable, rate * seconds_each)
         slots += usable
     return slots
 
@@ -52,11 +75,18 @@
 
 
 def _wait_for_allowance(state: DaemonState, server: ServerState, now: float) -> float:
-    if has_allowance(state, server, now):
-        return 0.0
-    share, _ = _find_share(state, server.service, now)
-    rate = server.limit.rate * share
-    return (1.0 - server.limit.allowance) / rate if rate else float("inf")
+    wait = 0.0
+    if not _has_named_allowance(state, server, now):
+        share, _ = _find_share(state, server.service, now)
+        wait = _compute_wait(server.limit.allowance, server.limit.rate * share)
+    if not _has_warm_up_allowance(state, server, now):
+        rate = server.warm_up.rate * compute_share(state, server, now)
+        wait = max(wait, _compute_wait(server.warm_up.allowance, rate))
+    return wait
+
+
+def _compute_wait(allowance: float, rate: float) -> float:
+    return (1.0 - allowance) / rate if rate else float("inf")
 
 
 def _find_share(state: DaemonState, service: str, now: float) -> tuple[float, int]:
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -144,6 +144,7 @@
     :param limit: requests a second that it takes from all daemons, infinite where it names
         none, ``None`` where what it names is not valid
     :param pause: seconds for which it wants no requests of this daemon if it refuses this one
+    :param cold_seconds: seconds for which it is still cold, ``None`` where it does not say it
     """
 
     in_flight: int | None = None
@@ -151,6 +152,7 @@
     load: LoadReport | None = None
     limit: float | None = float("inf")
     pause: float = 0.0
+    cold_seconds: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/owners.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/owners.py
@@ -15,6 +15,7 @@
 __all__ = [
     "OwnerTable",
     "find_owner",
+    "find_ranked_first",
     "is_granted",
     "is_ranked_first",
     "list_owners",
@@ -88,12 +89,18 @@
     return owners[0] if owners else state.name
 
 
-def is_ranked_first(state: DaemonState, service: str, now: float) -> bool:
-    """Return whether this daemon ranks first as owner of a service's queue in its zone.
+def find_ranked_first(state: DaemonState, service: str, now: float) -> str:
+    """Return the daemon that ranks first as owner of a service's queue in the own zone.
 
     Daemons that pass over different owners, each for a while, agree on the ranking.
     """
-    return _rank(state, service, now, state.zone)[:1] == [state.name]
+    ranking = _rank(state, service, now, state.zone)
+    return ranking[0] if ranking else ""
+
+
+def is_ranked_first(state: DaemonState, service: str, now: float) -> bool:
+    """Return whether this daemon ranks first as owner of a service's queue in its zone."""
+    return find_ranked_first(state, service, now) == state.name
 
 
 def is_granted(state: DaemonState, service: str) -> bool:
--- a/packages/dotterelgate-core/src/dotterelgate_core/peers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/peers.py
@@ -32,6 +32,7 @@
     :param heartbeat_interval: seconds after which it sends the next heartbeat here
     :param revision: revision of the configuration that it has in force, or was sent
     :param counted: backend servers where its last heartbeat counted requests
+    :param votes: daemon that it takes for the owner of each service with cold servers
     :param pinged_at: monotonic second of the last ping, until a message of it arrives
     :param pending_calls: ids of calls sent to it whose answers are outstanding
     """
@@ -48,6 +49,7 @@
     heartbeat_interval: float = 0.0
     revision: int = 0
     counted: tuple[str, ...] = ()
+    votes: dict[str, str] = field(default_factory=dict)
     pinged_at: float | None = None
     pending_calls: set[int] = field(default_factory=set)
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/registry.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/registry.py
@@ -9,6 +9,7 @@
 from dotterelgate_core.control_messages import ControlTicked
 from dotterelgate_core.eras import EntryVersion, Position, StoreEra, merge_versions
 from dotterelgate_core.messages import Decision, SlotFreed
+from dotterelgate_core.warm_up.coldness import apply_cold_entry, follow_service
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -212,10 +213,11 @@
         born=registration.born,
     )
     if before is not None and before.server == server:
-        return []
+        return [*apply_cold_entry(before, registration.cold_seconds, read.now)]
     added = state.servers.add_or_update(registration.service, server)
     added.is_evacuated = registration.zone in state.evacuations.list_evacuated()
-    added.cold_until = read.now + registration.cold_seconds
+    follow_service(added, service, read.now)
+    cold_lines = apply_cold_entry(added, registration.cold_seconds, read.now)
     status = "is leaving; it gets no new requests" if registration.is_draining else "can be used"
     sentence = f"{read.name} {status} (entry {read.offset} from {read.source})"
     return [
@@ -225,6 +227,7 @@
             service=registration.service,
             target=read.name,
         ),
+        *cold_lines,
         SlotFreed(now=read.now, service=registration.service),
     ]
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -8,6 +8,7 @@
 from dotterelgate_core.backoff import compute_backoff
 from dotterelgate_core.limits import NamedLimit
 from dotterelgate_core.loads import LoadView
+from dotterelgate_core.warm_up.limit import WarmUpLimit
 
 if TYPE_CHECKING:
     from dotterelgate_core.configuration import BackendServer, Service
@@ -36,13 +37,14 @@
     :param ramp: concurrent requests allowed while it warms up, ``None`` when warm
     :param used_at: monotonic second of the last answer or dispatch
     :param view: its load according to its reports and to other daemons
-    :param cold_until: monotonic second until which its entry states that it is slow
+    :param cold_until: monotonic second until which its entry or its answers state that it is slow
     :param chosen_at: monotonic second at which this daemon chose it last, for any daemon
     :param limit: the requests a second that it takes
     :param pauses: monotonic second until which it wants no requests of a daemon, by name;
         ``None`` for this daemon
     :param is_evacuated: whether the operator evacuated its zone
     :param returned_at: monotonic second at which its zone was taken back into use
+    :param warm_up: its limit while it is cold
     """
 
     server: BackendServer
@@ -65,6 +67,7 @@
     pauses: dict[str | None, float] = field(default_factory=dict)
     is_evacuated: bool = False
     returned_at: float = float("-inf")
+    warm_up: WarmUpLimit = field(default_factory=WarmUpLimit)
 
     def is_eligible(self, now: float, requester: str | None = None) -> bool:
         """Return whether it may get new requests.
--- a/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/sharing.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ControlTicked
 from dotterelgate_core.messages import Decision, SlotFreed
 from dotterelgate_core.peers import Peer
 from dotterelgate_core.statements import apply_peer_statements
+from dotterelgate_core.warm_up.coldness import apply_announcement
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -89,6 +90,8 @@
     :param can_decide: whether it has a configuration and backend servers
     :param interval: seconds until its next heartbeat
     :param revision: revision of the configuration that it has in force
+    :param votes: daemon that it takes for the owner of each service with cold servers
+    :param cold: seconds for which backend servers of services that it owns are still cold
     """
 
     now: float
@@ -101,6 +104,8 @@
     can_decide: bool = True
     interval: float = 0.0
     revision: int = 0
+    votes: dict[str, str] = field(default_factory=dict)
+    cold: dict[str, float] = field(default_factory=dict)
 
 
 def find_remote_interval_factor(state: DaemonState) -> int:
@@ -235,9 +240,20 @@
     peer.revision = received.revision
     if received.zone == state.zone:
         _apply_counts(state, peer, received)
+        peer.votes = received.votes
+        messages += _apply_announcements(state, received)
     return messages
 
 
+def _apply_announcements(state: DaemonState, received: HeartbeatReceived) -> list[Message]:
+    lines: list[Message] = []
+    for name, seconds in received.cold.items():
+        server = state.servers.states.get(name)
+        if server is not None:
+            lines += apply_announcement(server, seconds, received.now, peer=received.peer)
+    return lines
+
+
 def _apply_counts(state: DaemonState, peer: Peer, received: HeartbeatReceived) -> None:
     for name in {*peer.counted, *received.in_flight}:
         server = state.servers.states.get(name)
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -14,6 +14,7 @@
 from dotterelgate_core.servers import ServerTable
 from dotterelgate_core.splits import SplitTable
 from dotterelgate_core.suspects import SuspectTable
+from dotterelgate_core.warm_up.shares import ShareState
 from dotterelgate_core.work_times import WorkTimes
 
 if TYPE_CHECKING:
@@ -81,6 +82,7 @@
     owners: OwnerTable = field(default_factory=OwnerTable)
     suspects: SuspectTable = field(default_factory=SuspectTable)
     evacuations: EvacuationState = field(default_factory=EvacuationState)
+    shares: ShareState = field(default_factory=ShareState)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/statements.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/statements.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core.limits import UNLIMITED
 from dotterelgate_core.messages import Decision
+from dotterelgate_core.warm_up.coldness import apply_cold_answer, apply_cold_peer
 
 if TYPE_CHECKING:
     from dotterelgate_core.control_messages import ProbeEnded
@@ -33,6 +34,8 @@
     :param limit: limit that an answer named, infinite for none, ``None`` without an answer
     :param limit_age: seconds since that answer
     :param pause: seconds for which it wants no requests of the peer
+    :param cold_seconds: seconds for which it is still cold, ``None`` without an answer
+    :param cold_age: seconds since that answer
     """
 
     born: int | None
@@ -40,6 +43,8 @@
     limit: float | None = None
     limit_age: float = 0.0
     pause: float = 0.0
+    cold_seconds: float | None = None
+    cold_age: float = 0.0
 
 
 def apply_answer_statements(server: ServerState, answered: ServerAnswered) -> list[Decision]:
@@ -66,6 +71,7 @@
     changes = []
     if server.limit.apply_answer(ended.limit, ended.now, is_probe=True):
         changes.append(_describe_limit(server, ITS_ANSWER))
+    changes += apply_cold_answer(server, ended.cold_seconds, ended.now)
     if ended.draining:
         changes += _mark_leaving(server, ended.wall, ITS_ANSWER)
     return changes
@@ -85,6 +91,8 @@
         at = now - stated.limit_age
         if server.limit.apply_statement(stated.limit, now, at=at):
             changes.append(_describe_limit(server, peer))
+    if stated.cold_seconds is not None:
+        changes += apply_cold_peer(server, stated.cold_seconds, now, age=stated.cold_age, peer=peer)
     if stated.pause:
         server.pauses[peer] = now + stated.pause
     if stated.is_leaving:
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -14,6 +14,7 @@
 from dotterelgate_core.sharing import make_sharing_filter
 from dotterelgate_core.store_reading import make_reading_filter
 from dotterelgate_core.suspecting import make_check_filter
+from dotterelgate_core.warm_up.following import make_warm_up_filter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -51,13 +52,14 @@
 
     It handles ``ConfigurationStored``, ``RegistrationRead``, ``RegistryListed``,
     ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
-    ``EvacuationsRead``, ``LoadsReceived``, ``HeartbeatReceived``, ``ServerCheckRequested``,
-    ``ProbeEnded`` and ``ControlTicked``. It emits ``ReadStore``, ``StoreRestored``, ``Probe``,
-    ``ServerEnded``, ``ServersEvacuated``, ``ConfigurationChanged``, ``SlotFreed`` and
-    ``Decision``.
+    ``EvacuationsRead``, ``DaemonsListed``, ``LoadsReceived``, ``HeartbeatReceived``,
+    ``ServerCheckRequested``, ``ProbeEnded`` and ``ControlTicked``. It emits ``ReadStore``,
+    ``StoreRestored``, ``Probe``, ``ServerEnded``, ``ServersEvacuated``, ``ConfigurationChanged``,
+    ``SlotFreed`` and ``Decision``.
     """
     return connect(
         _make_configuration_filter(state),
+        make_warm_up_filter(state),
         make_reading_filter(state, registry, reading),
         make_evacuation_filter(state),
         make_registry_filter(state, registry),
--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/warm_up/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of backend servers that are cold after their start, and who is cold."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 import structlog
 
 from dotterelgate_border.settings import Address
+from dotterelgate_core.warm_up.following import DaemonsListed
 from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader, ReadOutcome
 from dotterelgate_daemon.store import StoreRecord, Topic
 
@@ -110,6 +112,7 @@
 
     def _note_listing(self, keys: frozenset[str], _end: Position) -> None:
         self._is_listed = self._own[0] in keys
+        self._access.emit(DaemonsListed(now=time.monotonic(), names=keys))
 
     def _end_listing(self) -> None:
         if self._is_listed:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -63,6 +63,7 @@
         "slots": server.server.slots,
         "load": server.count_load(),
         "leaving": server.list_leaving_sources(),
+        "cold_seconds": max(0.0, server.cold_until - now),
         "evacuated": server.is_evacuated,
         "eligible": server.is_eligible(now),
         "failures": server.failures,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/mesh.py
@@ -15,21 +15,22 @@
     LoadEntry,
     LoadUpdate,
     RelayRequest,
-    ServerStatements,
     decode_datagram,
     encode_datagram,
 )
 from dotterelgate_core.heartbeats import plan_heartbeats
-from dotterelgate_core.loads import LoadReport
 from dotterelgate_core.owners import find_owner, list_owners, select_listeners
 from dotterelgate_core.relaying import plan_relays
 from dotterelgate_core.sharing import (
     HeartbeatReceived,
-    LoadsReceived,
-    ServerLoad,
     find_remote_interval_factor,
 )
-from dotterelgate_core.statements import PeerStatements
+from dotterelgate_daemon.load_messages import (
+    build_announcement,
+    build_load_entry,
+    build_remote_entry,
+    read_load_update,
+)
 from dotterelgate_daemon.polling import Watch
 from dotterelgate_daemon.streams import bind_to
 
@@ -59,7 +60,6 @@
 # With many peers in other zones, loads are relayed to them half as often; a zone of that
 # size seldom needs backend servers of other zones.
 MAX_RELAY_INTERVAL_FACTOR = 2
-PERCENT = 100
 MILLISECONDS = 1000
 
 
@@ -233,6 +233,8 @@
             wants_reply=wants_reply,
             can_decide=state.can_decide,
             interval_ms=round(interval * MILLISECONDS),
+            votes=state.shares.votes if counts else {},
+            cold_ms=build_announcement(state, time.monotonic()) if counts else {},
         )
 
     def _flush(self) -> None:
@@ -303,6 +305,8 @@
             can_decide=message.can_decide,
             interval=message.interval_ms / MILLISECONDS,
             revision=message.revision,
+            votes=message.votes,
+            cold={name: each / MILLISECONDS for name, each in message.cold_ms.items()},
         )
         self._emit(received)
         if message.wants_reply:
@@ -317,99 +321,3 @@
 def _is_recent(server: ServerState, state: DaemonState, now: float) -> bool:
     is_own_zone = server.server.zone == state.zone
     return is_own_zone and now - server.view.reported_at < MAX_RELAYED_AGE_SECONDS
-
-
-def build_load_entry(server: ServerState, now: float) -> LoadEntry:
-    """Build a backend server's entry for peers, and mark its new data as sent."""
-    view = server.view
-    report = view.report if view.has_unsent_report else None
-    entry = LoadEntry(
-        server=server.server.name,
-        in_flight=server.in_flight,
-        running=-1 if report is None else report.running,
-        waiting=0 if report is None else report.waiting,
-        slots=0 if report is None else report.slots,
-        slowdown_percent=PERCENT if report is None else int(report.slowdown * PERCENT),
-        age_ms=int((now - view.reported_at) * MILLISECONDS) if report is not None else 0,
-        failed=view.has_unsent_failure,
-        pace_percent=int(view.unsent_pace * PERCENT) if view.unsent_pace is not None else 0,
-        statements=_build_statements(
-            server,
-            now,
-            has_limit=server.limit.is_unsent,
-            pause=max(0.0, server.pauses.get(None, 0.0) - now),
-        ),
-    )
-    view.has_unsent_report = False
-    view.has_unsent_failure = False
-    view.unsent_pace = None
-    server.limit.is_unsent = False
-    return entry
-
-
-def build_remote_entry(server: ServerState, now: float) -> LoadEntry:
-    """Build a backend server's entry for another zone, with its total load."""
-    report = server.view.report
-    return LoadEntry(
-        server=server.server.name,
-        in_flight=0,
-        running=server.count_load(),
-        slots=server.server.slots,
-        slowdown_percent=PERCENT if report is None else int(report.slowdown * PERCENT),
-        age_ms=int((now - server.view.reported_at) * MILLISECONDS),
-        statements=_build_statements(server, now, has_limit=server.limit.stated_at > float("-inf")),
-    )
-
-
-def _build_statements(
-    server: ServerState, now: float, *, has_limit: bool, pause: float = 0.0
-) -> ServerStatements | None:
-    if not has_limit and not server.reports_leaving and not pause:
-        return None
-    return ServerStatements(
-        born=server.server.born,
-        is_leaving=server.reports_leaving,
-        limit=server.limit.rate if has_limit else None,
-        limit_age_ms=int((now - server.limit.stated_at) * MILLISECONDS) if has_limit else 0,
-        pause_ms=int(pause * MILLISECONDS),
-    )
-
-
-def read_load_update(message: LoadUpdate, now: float) -> LoadsReceived:
-    """Convert a peer's update to a message of the control pipeline."""
-    loads = tuple(_read_load(entry) for entry in message.loads)
-    return LoadsReceived(
-        now=now, peer=message.sender, loads=loads, is_remote_zone=message.is_remote_zone
-    )
-
-
-def _read_load(entry: LoadEntry) -> ServerLoad:
-    report = None
-    if entry.running >= 0:
-        report = LoadReport(
-            running=entry.running,
-            waiting=entry.waiting,
-            slots=entry.slots,
-            slowdown=entry.slowdown_percent / PERCENT,
-        )
-    return ServerLoad(
-        server=entry.server,
-        in_flight=entry.in_flight,
-        report=report,
-        age=entry.age_ms / MILLISECONDS,
-        failed=entry.failed,
-        pace=entry.pace_percent / PERCENT if entry.pace_percent else None,
-        statements=_read_statements(entry.statements),
-    )
-
-
-def _read_statements(statements: ServerStatements | None) -> PeerStatements | None:
-    if statements is None:
-        return None
-    return PeerStatements(
-        born=statements.born,
-        is_leaving=statements.is_leaving,
-        limit=statements.limit,
-        limit_age=statements.limit_age_ms / MILLISECONDS,
-        pause=statements.pause_ms / MILLISECONDS,
-    )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -80,7 +80,7 @@
         )
         self.statements = Gauge(
             "dotterelgate_server_statements",
-            "Backend servers that state that they leave, want nothing for now, or name a limit",
+            "Backend servers that state that they leave, are cold, want nothing, or name a limit",
             ["kind"],
             registry=self.registry,
         )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -73,6 +73,7 @@
                 reported_name=answers[0].server if answers else None,
                 limit=answers[0].report.limit if answers else None,
                 refused=refused,
+                cold_seconds=answers[0].report.cold_seconds if answers else None,
             )
             self._emit(message)
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -199,6 +199,7 @@
             or previous.address != registration.address
             or previous.service != registration.service
             or previous.zone != registration.zone
+            or previous.cold_seconds < registration.cold_seconds
         )
 
     def _note_position(self, now: float, position: Position) -> Position:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -25,6 +25,7 @@
 from dotterelgate_core.store_control import make_store_pipeline
 from dotterelgate_core.store_reading import ReadingState, ReadStore
 from dotterelgate_core.suspecting import ServerEnded, SuspectCleared
+from dotterelgate_core.warm_up.shares import ShareState
 from dotterelgate_daemon.common_parts import IDLE_TICK_SECONDS, build_common_parts
 from dotterelgate_daemon.configuration_following import ConfigurationFollower
 from dotterelgate_daemon.directory import DaemonDirectory
@@ -136,6 +137,7 @@
         keys=KeyTable(retention=1.0, limit=0),
         retries=BudgetTable(burst=settings.retry_burst),
         splits=SplitTable(random=random.Random()),
+        shares=ShareState(zones=frozenset(settings.zones)),
     )
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_watches.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_watches.py
@@ -36,6 +36,7 @@
         "leaving": lambda server: server.reports_leaving,
         "pause": lambda server: server.wants_pause(time.monotonic()),
         "limit": lambda server: server.limit.is_named,
+        "cold": lambda server: time.monotonic() < server.cold_until,
     }
 
     def count(states_it: Callable[[ServerState], bool]) -> float:
