--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -7,7 +7,7 @@
 from dotterelgate_core.calls import Attempt
 from dotterelgate_core.downloads.placement import keep_in_zone
 from dotterelgate_core.evacuations.returning import select_in_step
-from dotterelgate_core.limiting import has_allowance
+from dotterelgate_core.limiting import has_allowance, use_allowance
 from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
 from dotterelgate_core.slots import GrantSlot, SlotGrant
 
@@ -74,7 +74,7 @@
         return []
     subqueue.take(waiting)
     chosen.chosen_at = freed.now
-    chosen.limit.use()
+    use_allowance(chosen, freed.now)
     if call_state.requester is not None:
         return grant_slot(call_state, chosen, freed.now)
     return dispatch_call(
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -16,6 +16,7 @@
 from dotterelgate_core.servers import ServerTable
 from dotterelgate_core.splits import SplitTable
 from dotterelgate_core.suspects import SuspectTable
+from dotterelgate_core.warm_up.shares import ShareState
 from dotterelgate_core.work_times import WorkTimes
 
 if TYPE_CHECKING:
@@ -91,6 +92,7 @@
     evacuations: EvacuationState = field(default_factory=EvacuationState)
     quotas: QuotaTable = field(default_factory=QuotaTable)
     hedging: HedgingTable = field(default_factory=HedgingTable)
+    shares: ShareState = field(default_factory=ShareState)
     handovers: HandoverTable | None = None
     stop: PlannedStop | None = None
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -198,6 +198,8 @@
             or previous.born != registration.born
             or previous.address != registration.address
             or previous.service != registration.service
+            or previous.zone != registration.zone
+            or previous.cold_seconds < registration.cold_seconds
         )
 
     def _note_position(self, now: float, position: Position) -> Position:
