--- /dev/null
+++ b/features/steps/hedging_steps.py
@@ -0,0 +1,131 @@
+"""Steps on second attempts of slow requests."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from subjects.hedging import OWNER, HedgingDaemon
+from subjects.hedging_schedules import run_schedules
+
+from dotterelgate_core.slots import GrantSlot, RequestSlot
+
+REQUESTS = {
+    "a read": {},
+    "a write": {"path": "/write/x"},
+    "a read in parts": {"streamed": True},
+    "a read that is retried upstream": {"retried": True},
+    "a read with 70 ms left": {"timeout": 0.07},
+}
+SETTINGS = {
+    "as usual": {},
+    "and allows 1 attempt": {"attempts": 1},
+    "and allows 2 attempts": {"attempts": 2},
+    "and allows 3 attempts": {"attempts": 3},
+    "with a share of 0": {"share": 0.0},
+    "and knows 10 answers": {"learned": 10},
+    "where 90 in 100 slots must be free": {"slots": 0.9},
+    "where no slots must be free": {"slots": 0.0},
+}
+# Most cases are about two attempts; a third would hide how they ended.
+TWO_ATTEMPTS = {"attempts": 2}
+
+
+@given("a daemon that starts second attempts")
+def make_daemon(context):
+    make_daemon_with(context, "as usual")
+
+
+@given("a daemon that starts second attempts {setting}")
+def make_daemon_with(context, setting):
+    context.hedging = HedgingDaemon(**{**TWO_ATTEMPTS, **SETTINGS[setting]})
+
+
+@given("a daemon that asks an owner for second attempts")
+def make_asker(context):
+    context.hedging = HedgingDaemon(owner=OWNER, attempts=3)
+
+
+@when("{request} is sent and {events}")
+def send(context, request, events):
+    context.before = context.hedging.read_tokens()
+    context.hedging.send(**{"identity": 5, **REQUESTS[request]})
+    for event in events.split(", "):
+        context.hedging.do(event)
+
+
+@then("the caller gets {outcome}, and {cancelled} is cancelled")
+def check_outcome(context, outcome, cancelled):
+    hedging = context.hedging
+    assert hedging.list_outcomes() == [outcome], hedging.orders
+    places = {"nothing": [], "both": ["first", "second"]}.get(cancelled, [cancelled])
+    expected = [{"first": hedging.first, "second": hedging.second}[each] for each in places]
+    assert hedging.list_cancelled() == expected, (hedging.list_cancelled(), expected)
+
+
+@then("of second attempts it counts {counts}")
+def check_counts(context, counts):
+    expected = [] if counts == "nothing" else counts.split()
+    assert context.hedging.list_counted() == expected, context.hedging.list_counted()
+
+
+@then("it has no request at any backend server")
+def check_slots(context):
+    context.hedging.finish()
+    assert context.hedging.count_in_flight() == 0
+
+
+@then("it is sent to {count:d} backend server")
+@then("it is sent to {count:d} backend servers")
+def check_dispatched(context, count):
+    servers = context.hedging.list_dispatched()
+    assert len(servers) == len(set(servers)) == count, servers
+
+
+@then("the read is sent to {servers} and the caller gets {outcome}")
+def check_owner_outcome(context, servers, outcome):
+    hedging = context.hedging
+    assert hedging.list_dispatched() == servers.split(), hedging.list_dispatched()
+    assert hedging.list_outcomes() == [outcome], hedging.list_outcomes()
+
+
+@then("the budgets are as before less {spent:d}")
+def check_budgets(context, spent):
+    now = context.hedging.read_tokens()
+    # The read itself earns its share, up to the burst.
+    assert all(a <= b - spent + 0.21 for a, b in zip(now, context.before, strict=True)), now
+    assert all(a >= b - spent for a, b in zip(now, context.before, strict=True)), now
+
+
+@then("no budget is spent")
+def check_unspent(context):
+    assert context.hedging.read_tokens() == context.hedging.tokens_when_slow
+
+
+@then("the read waits for the owner's answer to its retry")
+def check_retry(context):
+    hedging = context.hedging
+    requests = [each for each in hedging.orders if isinstance(each, RequestSlot)]
+    assert not requests[-1].request.only_free
+    assert not hedging.list_outcomes()
+    assert hedging.daemon.state.calls.states[hedging.call_id].queued
+
+
+@then("it answers a peer's request for a second attempt with {answer}")
+def check_owner(context, answer):
+    reply = context.hedging.request_free()
+    if answer == "a grant":
+        assert isinstance(reply, GrantSlot) and reply.grant.server != "i-0", reply
+    else:
+        assert reply.refusal.code.name == answer, reply
+    calls = context.hedging.daemon.state.calls.states
+    assert all(each.requester is None for each in calls.values())
+
+
+@when("random schedules of slow reads and writes are run")
+def run_random_schedules(context):
+    context.faults = run_schedules()
+
+
+@then("no call has more attempts than allowed, and one answer each")
+@then("no write is repeated, no slot is leaked and the budgets are kept")
+def check_schedules(context):
+    assert not context.faults, context.faults
--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -29,7 +29,7 @@
 class StoreDaemon:
     """One daemon's request and control pipelines, without I/O."""
 
-    def __init__(self, *, seed=SEED, policy="shared_queue", name="front-1"):
+    def __init__(self, *, seed=SEED, policy="shared_queue", name="front-1", limits=None):
         self.now = 100.0
         self.next_id = 0
         self.policy = policy
@@ -38,7 +38,7 @@
         self.state = DaemonState(
             name=name,
             zone=ZONE,
-            limits=Limits(),
+            limits=limits or Limits(),
             peers=PeerTable(name=name),
             leases=LeaseTable(holder=name, incarnation="", address="", length=1.0),
             keys=KeyTable(retention=1.0, limit=0),
@@ -146,7 +146,7 @@
         """Run a message through the request pipeline."""
         return list(self._decide(message))
 
-    def arrive(self, path="/read/x", timeout=0.5, identity=0):
+    def arrive(self, path="/read/x", timeout=0.5, identity=0, **fields):
         """Let a request arrive; returns its id and the orders."""
         self.next_id += 1
         call = messages.Call(
@@ -157,6 +157,7 @@
             timeout=timeout,
             request_id=f"request-{self.next_id}",
             identity=identity,
+            **fields,
         )
         arrived = messages.CallArrived(now=self.now, wall=self.now, call=call)
         return self.next_id, self.run(arrived)
