--- a/packages/dotterelgate-core/src/dotterelgate_core/observing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/observing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core import codes
 from dotterelgate_core.control_messages import AnnounceLeaving
 from dotterelgate_core.hedging.answer_times import note_time
 from dotterelgate_core.hedging.second_attempts import CountSecondAttempt, SecondResult
@@ -77,7 +78,7 @@
     attempt = free_slot(state, call_state, message.server) if call_state is not None else None
     if call_state is None or attempt is None:
         return []
-    if server is not None:
+    if server is not None and message.refusal.code is not codes.CALLER_GONE:
         server.record_failure(message.now)
         server.view.update_failure_share(failed=True, now=message.now)
         server.view.has_unsent_failure = True
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -112,6 +112,8 @@
 ) -> list[Message]:
     """Choose another server without counting an attempt, since nothing was sent."""
     refusal = Refusal(codes.CONNECT_FAILED, message.refusal.reason)
+    if not message.is_body_whole:
+        return _refuse_unsent(call_state, message.now, refusal)
     if call_state.unsent_attempts >= UNSENT_ATTEMPTS_LIMIT or call_state.attempts > 1:
         return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
     if call_state.caller_disconnected or not _has_untried_server(state, call_state, message):
@@ -137,13 +139,17 @@
     server: str,
 ) -> list[Message]:
     if not _may_retry(state, call_state, now):
-        ran = False if refusal.code.outcome is codes.Outcome.NOT_RUN else None
-        if ran is False:
-            refusal = replace(refusal, retry_after=choose_retry_after(call_state, now))
-        return _refuse(now, call_state.call.id, refusal, ran=ran)
+        if refusal.code.outcome is codes.Outcome.NOT_RUN:
+            return _refuse_unsent(call_state, now, refusal)
+        return _refuse(now, call_state.call.id, refusal, ran=None)
     return _retry_call(call_state, now, refusal.reason, server)
 
 
+def _refuse_unsent(call_state: CallState, now: float, refusal: Refusal) -> list[Message]:
+    refusal = replace(refusal, retry_after=choose_retry_after(call_state, now))
+    return _refuse(now, call_state.call.id, refusal, ran=False)
+
+
 def _retry_call(call_state: CallState, now: float, reason: str, server: str) -> list[Message]:
     call_state.avoided.add(server)
     decision = Decision(
@@ -222,11 +228,14 @@
     if call_state is None:
         return []
     call_state.caller_disconnected = True
+    refusal = Refusal(codes.CALLER_GONE, "the caller closed its connection")
+    if not message.is_body_complete:
+        # No server can get the rest of the body.
+        return _cancel_call(state, call_state, message.now, refusal)
     if not call_state.routed.route.idempotent and not call_state.queued:
         return []
     if call_state.digest is not None:
         return []
-    refusal = Refusal(codes.CALLER_GONE, "the caller closed its connection")
     return _cancel_call(state, call_state, message.now, refusal)
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/peering.py
@@ -4,15 +4,16 @@
 
 import time
 from typing import TYPE_CHECKING
-from urllib.parse import unquote
 
 from dotterelgate_border.handover import AnswerPart, HandedCall, Ping, Pong, Withdrawal
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Outcome, Refusal
 from dotterelgate_core.messages import Call, Purpose
 from dotterelgate_daemon.codec import find_header
-from dotterelgate_daemon.gateway import PendingCall
+from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import AnswerStart, Reply, StoredAnswer
+from dotterelgate_daemon.request_bodies import RequestBody
+from dotterelgate_daemon.targets import read_path
 
 if TYPE_CHECKING:
     from dotterelgate_border.handover import PeerMessage
@@ -71,7 +72,7 @@
             method=call.method,
             path=pending.target,
             headers=pending.headers,
-            body=bytes(pending.body),
+            body=pending.body.read_from(0),
             key=call.key,
             fingerprint=call.fingerprint,
         )
@@ -158,7 +159,7 @@
             id=call_id,
             method=message.method,
             host=host.rsplit(":", 1)[0].lower(),
-            path=unquote(message.path.partition("?")[0]),
+            path=read_path(message.path),
             key=message.key,
             fingerprint=message.fingerprint,
             timeout=message.timeout,
@@ -171,8 +172,7 @@
             call=call,
             target=message.path,
             headers=message.headers,
-            body=bytearray(message.body),
-            body_ended=True,
+            body=RequestBody(message.body, is_complete=True),
             length=len(message.body),
             reply=self._make_reply(message),
             arrived=time.monotonic(),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
+import termios
+from array import array
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -59,6 +62,8 @@
     :param receive: called with bytes as they arrive
     :param lost: called once when the remote side or the network ended the connection
     :param ready: called once when an opened connection is established
+
+    ``closed`` is called once when the connection ends, for whatever reason.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         self.lost = lost
         self.ready = ready
         self.drained: Callable[[], None] | None = None
+        self.closed: Callable[[], None] = _ignore
         self.is_open = True
         self.received_eof = False
         self.was_refused = False
@@ -82,7 +88,7 @@
         self._service = service
         self._pending: deque[bytes] = deque()
         self._pending_bytes = 0
-        self._closes_when_sent = False
+        self._when_sent: Callable[[], None] | None = None
         self._paused = False
 
     @property
@@ -90,6 +96,16 @@
         """Whether writers should wait for ``drained``."""
         return self._pending_bytes > HIGH_WATER_BYTES
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether the remote side has not acknowledged everything written."""
+        if not self.is_open or self._pending:
+            return self.is_open
+        count = array("i", [0])
+        # SIOCOUTQ has the same number.
+        fcntl.ioctl(self.sock, termios.TIOCOUTQ, count)
+        return count[0] > 0
+
     def write(self, data: bytes) -> None:
         """Send what the kernel accepts now, and buffer the rest."""
         if not self.is_open:
@@ -106,12 +122,25 @@
         if self.is_open:
             self.is_open = False
             self._service.drop(self)
+            self.closed()
 
     def close_when_sent(self) -> None:
         """Close after everything written has been sent."""
-        if not self._pending:
-            self.close()
-        self._closes_when_sent = True
+        self.call_when_sent(self.close)
+
+    def call_when_sent(self, call: Callable[[], None]) -> None:
+        """Call a function once the kernel has accepted everything written."""
+        if self._pending:
+            self._when_sent = call
+        else:
+            call()
+
+    def end_sending(self) -> None:
+        """Tell the remote side that nothing more is sent; bytes are still received."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.end()
 
     def pause(self) -> None:
         """Stop reading."""
@@ -140,8 +169,9 @@
         if not self.is_open:
             return
         self._service.unwatch_writes(self)
-        if self._closes_when_sent:
-            self.close()
+        if self._when_sent is not None:
+            call, self._when_sent = self._when_sent, None
+            call()
         elif self.drained is not None:
             self.drained()
 
