Ignore SIGHUP until the handler for it is set

SIGHUP ended a process in the first 0.4 s, while it imported its modules, since the handler is set when the daemon is built. Both programs now ignore the signal from their first statement on; the settings are read after that. The start of the interpreter itself is not covered.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -18,6 +18,16 @@
     When dotterelgated checks them
     Then it exits with 0
 
+  # An operator who changed the settings of a daemon that had just been started ended it.
+  Scenario Outline: SIGHUP while <program> imports its modules doesn't end it
+    When <program> gets SIGHUP as it imports its first module of the project
+    Then it goes on to report that it has no settings
+
+    Examples:
+      | program                  |
+      | platform/dotterelgated.py |
+      | dotterelgated             |
+
   Scenario Outline: A configuration with <mistake> is refused
     Given a configuration with <mistake>
     When dotterelgate checks it
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -33,6 +33,22 @@
 }
 
 
+# Sends SIGHUP to the process itself when it looks for the module, then runs the program.
+SIGNAL_IMPORT = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(name, path=None, target=None):
+        if name == "dotterelgate_border":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder)
+sys.argv = sys.argv[1:]
+sys.path.insert(0, os.path.dirname(sys.argv[0]))
+runpy.run_path(sys.argv[0], run_name="__main__")
+"""
+
+
 def write_file(context, name, text):
     folder = tempfile.TemporaryDirectory()
     context.cleanups.append(folder.cleanup)
@@ -56,6 +72,18 @@
     run(context, BIN / "dotterelgated", "--settings", context.path, "--check-settings")
 
 
+@when("{program} gets SIGHUP as it imports its first module of the project")
+def signal_import(context, program):
+    script = ROOT / program if program.endswith(".py") else BIN / program
+    run(context, sys.executable, "-c", SIGNAL_IMPORT, script)
+
+
+@then("it goes on to report that it has no settings")
+def check_went_on(context):
+    assert context.finished.returncode == 2, context.finished
+    assert "ettings" in context.finished.stderr, context.finished
+
+
 @given("a configuration with {mistake}")
 def write_configuration(context, mistake):
     server = {"name": "a", "address": "127.0.0.1:1", "slots": 1, "connections": 1}
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/command.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/command.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated
 
-import typer
+# By default the signal ends the process; the imports take 0.4 s, and settings are read after them.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from dotterelgate_border.problems import InvalidDocumentError
-from dotterelgate_border.settings import DaemonSettings, read_settings
-from dotterelgate_daemon.assembly import build_daemon
-from dotterelgate_daemon.log_output import set_up_logging
-from dotterelgate_daemon.reloading import make_reload
+import typer  # noqa: E402
+
+from dotterelgate_border.problems import InvalidDocumentError  # noqa: E402
+from dotterelgate_border.settings import DaemonSettings, read_settings  # noqa: E402
+from dotterelgate_daemon.assembly import build_daemon  # noqa: E402
+from dotterelgate_daemon.log_output import set_up_logging  # noqa: E402
+from dotterelgate_daemon.reloading import make_reload  # noqa: E402
 
 __all__ = ["main"]
 
