Answer writes with 502 that a server refuses without proof

A server's own 503 without Not-Executed for a write was passed on. Callers take 503 (also 408, 421 and 429) for a promise that the request has not run and repeat it, so the write could run twice.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -112,3 +112,23 @@
     Given a daemon with 1 backend servers on fake connections
     When a caller that reads slowly gets a response of 3000 bytes in one piece
     Then the connection to the server is kept and is not paused
+
+  # Callers repeated writes that had run, since 503 promises that they have not.
+  Scenario Outline: A server's <status> for a <kind> <stating> gives the caller <given>
+    Given a daemon with 1 backend servers on fake connections
+    When the only server answers a <kind> with <status> <stating> and <size> bytes
+    Then the caller is told <given>
+    And nothing is kept of it
+
+    Examples:
+      | kind  | status | size | stating                    | given |
+      | write | 503    | 2    | without stating an outcome | 502   |
+      | write | 429    | 2    | without stating an outcome | 502   |
+      | write | 408    | 2    | without stating an outcome | 502   |
+      | write | 421    | 2    | without stating an outcome | 502   |
+      | write | 503    | 3000 | without stating an outcome | 502   |
+      | write | 503    | 2    | stating that it did not run | 503   |
+      | write | 500    | 2    | without stating an outcome | 500   |
+      | write | 404    | 2    | without stating an outcome | 404   |
+      | read  | 429    | 2    | without stating an outcome | 429   |
+      | read  | 421    | 2    | without stating an outcome | 421   |
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -160,6 +160,9 @@
 REPEAT_FAILED = ResultCode(
     405, "repeat_failed", 502, _UNKNOWN, "An attempt may have run, and no other could be made."
 )
+UNPROVEN_REFUSAL = ResultCode(
+    406, "unproven_refusal", 502, _UNKNOWN, "A server refused a write, which may have run."
+)
 
 RESULT_CODES = tuple(value for value in list(globals().values()) if isinstance(value, ResultCode))
 CODES_BY_NUMBER = {code.number: code for code in RESULT_CODES}
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -26,6 +26,7 @@
 )
 from dotterelgate_core.observing import free_slot
 from dotterelgate_core.retry_after import choose_retry_after
+from dotterelgate_core.statuses import promises_not_run
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -69,11 +70,18 @@
             call_state.may_have_run = True
             sentence = f"{message.server} answered {message.status}"
             return _retry_call(call_state, message.now, sentence, message.server)
+        if not call_state.routed.route.idempotent and promises_not_run(message.status):
+            return _refuse(message.now, message.call_id, _doubt(message), ran=None)
         return _relay(message.now, message.call_id, message.server, message.stored_answer)
     refusal = Refusal(codes.SHED, f"{message.server} said that it did not run the request")
     return _retry_or_refuse(state, call_state, message.now, refusal, message.server)
 
 
+def _doubt(message: ServerAnswered) -> Refusal:
+    reason = f"{message.server} answered {message.status} without stating that it did not run it"
+    return Refusal(codes.UNPROVEN_REFUSAL, reason)
+
+
 def _relay(now: float, call_id: int, source: str, stored_answer: object | None) -> list[Message]:
     return [
         CallSettled(now=now, call_id=call_id, refusal=None, ran=True, stored_answer=stored_answer),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -11,6 +11,7 @@
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.control_messages import AnnounceLeaving
 from dotterelgate_core.learning import FIRST_FAILURE_STATUS
+from dotterelgate_core.statuses import promises_not_run
 from dotterelgate_daemon.codec import (
     encode_request_head,
     select_end_to_end,
@@ -169,6 +170,7 @@
         if pending is None:
             return
         self._reset_answer(pending)
+        pending.is_idempotent = order.idempotent
         server = order.server
         exchange = Exchange(
             method=pending.call.method,
@@ -248,7 +250,7 @@
             pending.answer_body += part
             if len(pending.answer_body) <= self._buffer_limit:
                 return
-            if _is_not_run(pending):
+            if _is_refusal(pending):
                 self._fail_exchange(pending, codes.ANSWER_INVALID, "a refusal with a large body")
                 return
             assert pending.start is not None
@@ -454,8 +456,11 @@
         return complete_answer
 
 
-def _is_not_run(pending: PendingCall) -> bool:
-    return pending.terms is not None and pending.terms.not_run
+def _is_refusal(pending: PendingCall) -> bool:
+    """Return whether the response is one that the pipeline may have to replace."""
+    if pending.terms is not None and pending.terms.not_run:
+        return True
+    return not pending.is_idempotent and promises_not_run(pending.status)
 
 
 def _build_stored_answer(start: AnswerStart, body: bytearray) -> StoredAnswer:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/pending_calls.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/pending_calls.py
@@ -24,6 +24,7 @@
 
     :param target: path and query
     :param length: bytes of the body, or ``None`` when it is chunked
+    :param is_idempotent: whether it may run more than once, as its route says
     :param relay_started: whether part of an answer was sent already
     :param peer: peer that the call was forwarded to
     :param next_part: number of the next answer part expected from that peer
@@ -42,6 +43,7 @@
     status: int = 0
     terms: AnswerTerms | None = None
     relay_started: bool = False
+    is_idempotent: bool = False
     peer: str | None = None
     next_part: int = 0
     complete_answer: StoredAnswer | None = None
