Dispatch requests that callers send ahead side by side

One request of a connection ran at a time, so a slow response kept those behind it from being passed on. Decisions are in dotterelgate_core/pipelining.py: up to 8 requests are read ahead; idempotent ones are passed on side by side, any other alone. When a connection closes, what was passed on behind is cancelled, and the rest counts as not read. A planned stop closes behind the last request that was passed on, not before. The time for which a request waited behind others, and for its body, is subtracted from the caller's limit. The connection's context and its requests have modules of their own.

--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -8,6 +8,7 @@
 
 from dotterelgate_border.handover import HandedCall
 from dotterelgate_core.configuration import Route
+from dotterelgate_core.pipelining import is_idempotent
 from dotterelgate_core.store_control import ConfigurationStored
 from dotterelgate_daemon.caller_connections import CallerConnection
 from dotterelgate_daemon.callers import CallerServer
@@ -76,12 +77,20 @@
 
 
 class RecordingStreams(FakeStreams):
-    """Opens and adopts streams that keep what was written."""
+    """Opens and adopts streams that keep what was written.
+
+    ``to_servers`` has all that were opened.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.to_servers = []
 
     def open(self, *, address, ready, receive, lost):
         """Open a stream; ``establish`` completes it."""
         stream = RecordingStream(receive=receive, lost=lost)
         self.opened.append((stream, ready))
+        self.to_servers.append(stream)
         return stream
 
     def adopt(self, *, sock, receive, lost):
@@ -121,6 +130,7 @@
             connection_limit=100,
             pause_detector=PauseDetector(),
             call_after=lambda *, delay, call: self.timers.append((delay, call)),
+            is_idempotent=lambda call: is_idempotent(self.daemon.state.configuration, call),
         )
         self.context = self.server._context
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -1,97 +1,59 @@
-"""One caller's connection; its requests are answered one at a time."""
+"""One caller's connection; its requests are answered in order."""
 
 from __future__ import annotations
 
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.messages import Call
-from dotterelgate_daemon.codec import (
-    CONTINUE,
-    LAST_CHUNK,
-    RequestReader,
-    encode_answer_head,
-    encode_chunk,
-    find_header,
+from dotterelgate_core.pipelining import (
+    MAX_HELD_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    PipelinedRequest,
+    find_startable,
 )
-from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
+from dotterelgate_daemon.caller_responses import CallerResponse
+from dotterelgate_daemon.codec import CONTINUE, RequestReader
+from dotterelgate_daemon.incoming_requests import IncomingRequest
 from dotterelgate_daemon.lingering import close_in_steps
 from dotterelgate_daemon.pending_calls import PendingCall
-from dotterelgate_daemon.replies import Reply
-from dotterelgate_daemon.request_bodies import RequestBody
-from dotterelgate_daemon.targets import read_path
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
 
     from dotterelgate_core.codes import ResultCode
-    from dotterelgate_daemon.codec import HeaderList, RequestHead
-    from dotterelgate_daemon.gateway import Gateway
-    from dotterelgate_daemon.replies import AnswerStart, StoredAnswer
-    from dotterelgate_daemon.streams import StreamService
-    from dotterelgate_daemon.timers import PauseDetector
+    from dotterelgate_daemon.codec import RequestHead
+    from dotterelgate_daemon.connection_context import ConnectionContext
 
-__all__ = ["CallerConnection", "ConnectionContext"]
+__all__ = ["CallerConnection"]
 
-MAX_PIPELINED_REQUESTS = 8
 # A request sent on a connection that was accepted or answered just now may not have
 # arrived yet; closing earlier would cut it off.
 TRANSIT_SECONDS = 0.3
 
 
-@dataclass(kw_only=True)
-class ConnectionContext:
-    """What all connections of callers share.
+class CallerConnection:
+    """One caller's connection.
 
-    :param head_limit: largest request head, in bytes
-    :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
-    :param pause_detector: measures how long a request may have waited unread
-    :param call_after: calls a function after a delay
-    :param is_stopping: whether connections close after the answer in progress
-    :param connections: the open connections
+    Requests are read ahead within a bound. Those that may run side by side do; the responses are
+    sent in the order of the requests.
     """
 
-    streams: StreamService
-    gateway: Gateway
-    head_limit: int
-    body_limit: int
-    pause_detector: PauseDetector
-    call_after: Callable[..., None]
-    is_stopping: bool = False
-    connections: set[CallerConnection] = field(default_factory=set)
-
-
-@dataclass(kw_only=True)
-class _IncomingRequest:
-    """A request that may still be arriving."""
-
-    head: RequestHead
-    body: RequestBody = field(default_factory=RequestBody)
-    unread_wait: float = 0.0
-    pending: PendingCall | None = None
-
-
-class CallerConnection:
-    """One caller's connection."""
-
     def __init__(self, *, context: ConnectionContext, sock: socket.socket) -> None:
         self._context = context
         self._stream = context.streams.adopt(
-            sock=sock, receive=self._receive, lost=self._note_disconnect
+            sock=sock, receive=self._receive, lost=self._drop_requests
         )
         self._stream.drained = self._resume_answer
         self._stream.closed = lambda: context.connections.discard(self)
-        self._waiting: deque[_IncomingRequest] = deque()
-        self._arriving: _IncomingRequest | None = None
-        self._current: _IncomingRequest | None = None
+        self._requests: deque[IncomingRequest] = deque()
+        self._arriving: IncomingRequest | None = None
         self._refusal: Refusal | None = None
-        self._chunked = False
         self._unread_wait = 0.0
         self._is_closing = False
+        self._is_advancing = False
         self.idle_since = time.monotonic()
         self._reader = RequestReader(
             head_limit=context.head_limit,
@@ -110,235 +72,214 @@
         """Close unless a request is in progress or may be in transit."""
         if time.monotonic() - self.idle_since < TRANSIT_SECONDS:
             return
-        if self._current is None and self._arriving is None and not self._is_closing:
+        if not self._requests and not self._is_closing:
             self._is_closing = True
             self._stream.close_when_sent()
 
     def _receive(self, data: bytes) -> None:
         self._unread_wait = self._context.pause_detector.measure()
         self._reader.feed(data)
-        self._pause_if_full()
+        if self._is_full() and not self._is_closing:
+            self._stream.pause()
 
     def _close(self) -> None:
         # Bytes that were not read, of this request or of later ones, would reset the connection.
         self._is_closing = True
-        for each in self._waiting:
-            each.body.discard()
-        self._waiting.clear()
-        if self._arriving is not None:
-            self._arriving.body.discard()
+        self._drop_requests()
         close_in_steps(self._stream, call_after=self._context.call_after)
 
-    def _note_disconnect(self) -> None:
-        current, self._current = self._current, None
-        for each in self._waiting:
-            each.body.discard()
-        self._waiting.clear()
-        if current is not None and current.pending is not None:
-            self._context.gateway.note_disconnect(current.pending.call.id)
+    def _drop_requests(self) -> None:
+        """Cancel the requests that were passed on, and forget the others."""
+        requests, self._requests = self._requests, deque()
+        for each in requests:
+            if each.pending is not None and not each.response.has_ended:
+                self._context.gateway.note_disconnect(each.pending.call.id)
+            elif not each.is_started:
+                each.body.discard()
 
     def _begin(self, head: RequestHead) -> None:
-        self._arriving = _IncomingRequest(head=head, unread_wait=self._unread_wait)
-        self._waiting.append(self._arriving)
-        if head.expects_continue and len(self._waiting) == 1 and self._current is None:
-            self._stream.write(CONTINUE)
+        request = IncomingRequest(
+            head=head,
+            unread_wait=self._unread_wait,
+            begun_at=time.monotonic(),
+            response=CallerResponse(
+                method=head.method,
+                name=self._context.gateway.name,
+                dialect=self._context.gateway.dialect,
+                stream=self._stream,
+                must_close=lambda: self._must_close(request),
+                may_hold=lambda: self._count_held() <= MAX_HELD_BYTES,
+                changed=self._advance,
+            ),
+        )
+        self._arriving = request
+        if not self._is_closing:
+            self._requests.append(request)
+        self._advance()
 
     def _receive_body(self, part: bytes) -> None:
         arriving = self._arriving
-        assert arriving is not None
+        if arriving is None or self._is_closing:
+            return
         arriving.body.add(part)
-        if arriving.pending is None and arriving.body.held_bytes > self._context.body_limit:
-            self._start_next()
+        if not arriving.is_started and self._is_ready(arriving):
+            self._advance()
 
     def _end_body(self) -> None:
         arriving, self._arriving = self._arriving, None
-        assert arriving is not None
-        arriving.body.end()
-        self._start_next()
+        if arriving is not None:
+            arriving.body.end()
+        self._advance()
 
     def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
         self._refusal = Refusal(code, reason)
         arriving = self._arriving
-        if arriving is not None and arriving.pending is not None:
+        if arriving is not None and arriving.is_started:
             self._stream.close()
-            self._note_disconnect()
+            self._drop_requests()
             return
-        if arriving is not None and arriving in self._waiting:
-            self._waiting.remove(arriving)
-        self._start_next()
+        if arriving is not None and arriving in self._requests:
+            self._requests.remove(arriving)
+            arriving.body.discard()
+        self._advance()
+
+    def _advance(self) -> None:
+        """Send responses whose turn has come, and start requests that may start.
 
-    def _start_next(self) -> None:
-        if self._current is not None or self._is_closing:
+        Both may end a response at once and so get here again.
+        """
+        if self._is_advancing:
             return
-        if not self._waiting:
-            self._answer_refusal()
+        self._is_advancing = True
+        try:
+            while not self._is_closing and self._stream.is_open and self._step():
+                pass
+        finally:
+            self._is_advancing = False
+        if self._is_closing or not self._stream.is_open:
             return
-        incoming = self._waiting[0]
-        streamed = not incoming.body.is_complete
-        if streamed and incoming.body.held_bytes <= self._context.body_limit:
+        self._resume_reading()
+        if not self._requests:
+            self._answer_refusal()
             return
-        self._waiting.popleft()
-        self._current = incoming
-        self._submit(incoming, streamed=streamed)
+        first = self._requests[0]
+        if first.head.expects_continue and not first.is_continued and not first.body.is_complete:
+            first.is_continued = True
+            self._stream.write(CONTINUE)
+
+    def _step(self) -> bool:
+        if self._requests:
+            first = self._requests[0]
+            if first.response.take_turn() and first.pending is not None:
+                self._context.gateway.resume_answer(first.pending.call.id)
+            if first.response.has_ended:
+                self._finish(self._requests.popleft())
+                return True
+        ahead = list(islice(self._requests, MAX_PIPELINED_REQUESTS))
+        described = [self._describe(each, is_first=each is ahead[0]) for each in ahead]
+        index = find_startable(described, held_bytes=self._count_held())
+        if index is None:
+            return False
+        self._start(ahead[index])
+        return True
+
+    def _describe(self, request: IncomingRequest, *, is_first: bool) -> PipelinedRequest:
+        is_ready = self._is_ready(request) if is_first else request.body.is_complete
+        if request.call is None and is_ready:
+            request.call = request.build_call(
+                gateway=self._context.gateway, body_limit=self._context.body_limit
+            )
+            if not isinstance(request.call, Refusal):
+                request.is_idempotent = self._context.is_idempotent(request.call)
+        return PipelinedRequest(
+            is_ready=is_ready,
+            is_whole=request.body.is_complete,
+            is_idempotent=request.is_idempotent or isinstance(request.call, Refusal),
+            is_started=request.is_started,
+            closes=request.response.closes,
+        )
+
+    def _is_ready(self, request: IncomingRequest) -> bool:
+        return request.body.is_complete or request.body.held_bytes > self._context.body_limit
+
+    def _finish(self, request: IncomingRequest) -> None:
+        self.idle_since = time.monotonic()
+        if request.response.closes or self._must_close(request):
+            self._close()
+
+    def _must_close(self, request: IncomingRequest) -> bool:
+        if not request.body.is_complete or not request.head.keep_alive:
+            return True
+        if not self._context.is_stopping:
+            return False
+        # A stop cuts off no request that was passed on.
+        return not any(each.is_started for each in self._requests if each is not request)
+
+    def _count_held(self) -> int:
+        return sum(each.response.held_bytes for each in self._requests)
 
     def _answer_refusal(self) -> None:
         if self._refusal is None:
             return
-        self._write_refusal(self._refusal, keep_alive=False, method="")
+        response = CallerResponse(
+            method="",
+            name=self._context.gateway.name,
+            dialect=self._context.gateway.dialect,
+            stream=self._stream,
+            must_close=lambda: True,
+            may_hold=lambda: True,
+            changed=lambda: None,
+        )
+        response.take_turn()
+        response.refuse(self._refusal)
         self._close()
 
-    def _submit(self, incoming: _IncomingRequest, *, streamed: bool) -> None:
-        call = self._build_call(incoming, streamed=streamed)
-        if isinstance(call, Refusal):
-            self._refuse(call)
+    def _start(self, request: IncomingRequest) -> None:
+        request.is_started = True
+        call = request.call
+        if call is None or isinstance(call, Refusal):
+            if call is not None:
+                request.response.refuse(call)
             return
-        length = incoming.head.length
-        if streamed:
-            incoming.body.stream()
+        # The time for which it waited behind others, and for its body, is the caller's.
+        call = request.reduce_timeout(call, time.monotonic())
+        length = request.head.length
+        if call.streamed:
+            request.body.stream()
         elif length is None:
-            length = incoming.body.held_bytes
-        incoming.pending = PendingCall(
+            length = request.body.held_bytes
+        request.pending = PendingCall(
             call=call,
-            target=incoming.head.target,
-            headers=self._list_headers(incoming.head),
-            body=incoming.body,
+            target=request.head.target,
+            headers=request.list_headers(self._find_host()),
+            body=request.body,
             length=length,
-            reply=self._make_reply(),
+            reply=request.response.make_reply(),
             arrived=time.monotonic(),
-            resume_caller=self._stream.resume,
-        )
-        self._context.gateway.admit(incoming.pending)
-
-    def _build_call(self, incoming: _IncomingRequest, *, streamed: bool) -> Call | Refusal:
-        head = incoming.head
-        terms = self._context.gateway.dialect.read_request(head.headers)
-        if isinstance(terms, Refusal):
-            return terms
-        body = incoming.body.read_from(0)
-        host = (find_header(head.headers, b"host") or b"").decode("latin-1")
-        return Call(
-            id=self._context.gateway.allocate_id(),
-            method=head.method,
-            host=host.rsplit(":", 1)[0].lower(),
-            path=read_path(head.target),
-            key=terms.key,
-            fingerprint=compute_fingerprint(head, body) if terms.key is not None else 0,
-            timeout=terms.timeout,
-            streamed=streamed,
-            retried=terms.retried,
-            unread_wait=incoming.unread_wait,
-            request_id=terms.request_id,
-            identity=compute_identity(head, body, self._context.body_limit, terms.credential),
-            credential=terms.credential,
+            resume_caller=self._resume_reading,
         )
+        self._context.gateway.admit(request.pending)
 
-    def _list_headers(self, head: RequestHead) -> HeaderList:
+    def _find_host(self) -> bytes:
         try:
-            host = self._stream.sock.getpeername()[0].encode("ascii")
+            return self._stream.sock.getpeername()[0].encode("ascii")
         except OSError:
-            host = b"unknown"
-        return [*head.headers, (b"x-forwarded-for", host), (b"via", b"1.1 dotterelgate")]
-
-    def _make_reply(self) -> Reply:
-        return Reply(
-            send_complete=self._send_complete,
-            begin=self._begin_answer,
-            part=self._send_part,
-            end=self._end_answer,
-            cut=self._abort,
-            refuse=self._refuse,
-            is_full=lambda: self._stream.is_full,
-        )
-
-    def _keeps_alive(self) -> bool:
-        if self._current is None:
-            return False
-        if self._context.is_stopping or not self._current.body.is_complete:
-            return False
-        return self._current.head.keep_alive
-
-    def _send_complete(self, answer: StoredAnswer) -> None:
-        length = len(answer.body) if answer.body or answer.length is None else answer.length
-        headers = self._list_answer_headers(answer.headers, answer.server)
-        if answer.status != 204:
-            headers.append((b"content-length", b"%d" % length))
-        self._stream.write(encode_answer_head(answer.status, headers) + answer.body)
-        self._finish()
-
-    def _begin_answer(self, start: AnswerStart) -> None:
-        headers = self._list_answer_headers(start.headers, start.server)
-        self._chunked = start.length is None
-        if start.length is None:
-            headers.append((b"transfer-encoding", b"chunked"))
-        else:
-            headers.append((b"content-length", b"%d" % start.length))
-        self._stream.write(encode_answer_head(start.status, headers))
-
-    def _list_answer_headers(self, headers: HeaderList, server: str) -> HeaderList:
-        listed = [*headers, *self._context.gateway.dialect.write_answer(server)]
-        listed.append((b"dotterelgate-daemon", self._context.gateway.name.encode("latin-1")))
-        if not self._keeps_alive():
-            listed.append((b"connection", b"close"))
-        return listed
-
-    def _send_part(self, part: bytes) -> None:
-        self._stream.write(encode_chunk(part) if self._chunked else part)
-
-    def _end_answer(self) -> None:
-        if self._chunked:
-            self._stream.write(LAST_CHUNK)
-        self._finish()
-
-    def _abort(self) -> None:
-        # In HTTP, closing before the declared end marks an incomplete answer.
-        self._current = None
-        self._stream.close()
-
-    def _refuse(self, refusal: Refusal) -> None:
-        if self._current is None:
-            return
-        keep_alive = self._keeps_alive()
-        self._write_refusal(refusal, keep_alive=keep_alive, method=self._current.head.method)
-        self._finish()
-
-    def _write_refusal(self, refusal: Refusal, *, keep_alive: bool, method: str) -> None:
-        body = f"{refusal.code.number} {refusal.code.name}: {refusal.reason}\n".encode()
-        headers = [
-            (b"content-type", b"text/plain; charset=utf-8"),
-            (b"content-length", b"%d" % len(body)),
-            *self._context.gateway.dialect.write_refusal(refusal),
-            (b"dotterelgate-daemon", self._context.gateway.name.encode("latin-1")),
-        ]
-        if not keep_alive:
-            headers.append((b"connection", b"close"))
-        head = encode_answer_head(refusal.code.status, headers)
-        self._stream.write(head if method == "HEAD" else head + body)
-
-    def _finish(self) -> None:
-        keep_alive = self._keeps_alive()
-        self._current = None
-        self.idle_since = time.monotonic()
-        if not keep_alive:
-            self._close()
-            return
-        self._stream.resume()
-        self._start_next()
+            return b"unknown"
 
-    def _pause_if_full(self) -> None:
-        if self._is_closing:
-            return
-        if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
-            self._stream.pause()
+    def _is_full(self) -> bool:
+        """Return whether reading should pause."""
+        if len(self._requests) >= MAX_PIPELINED_REQUESTS:
+            return True
         arriving = self._arriving
-        if arriving is None or not self._stream.is_open:
-            return
-        if arriving.pending is None:
-            full = self._current is not None and arriving.body.held_bytes > self._context.body_limit
-        else:
-            full = self._context.gateway.is_body_full(arriving.pending)
-        if full:
-            self._stream.pause()
+        if arriving is not None and arriving.pending is not None:
+            return self._context.gateway.is_body_full(arriving.pending)
+        unstarted = (each.body.held_bytes for each in self._requests if not each.is_started)
+        return sum(unstarted) > self._context.body_limit
+
+    def _resume_reading(self) -> None:
+        if not self._is_full():
+            self._stream.resume()
 
     def _resume_answer(self) -> None:
-        if self._current is not None and self._current.pending is not None:
-            self._context.gateway.resume_answer(self._current.pending.call.id)
+        if self._requests and self._requests[0].pending is not None:
+            self._context.gateway.resume_answer(self._requests[0].pending.call.id)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from dotterelgate_daemon.caller_connections import CallerConnection, ConnectionContext
+from dotterelgate_daemon.caller_connections import CallerConnection
+from dotterelgate_daemon.connection_context import ConnectionContext
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Callable
 
+    from dotterelgate_core.messages import Call
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.streams import StreamService
     from dotterelgate_daemon.timers import PauseDetector
@@ -25,6 +27,7 @@
     :param connection_limit: largest number of open connections
     :param pause_detector: measures how long a request may have waited unread
     :param call_after: calls a function after a delay
+    :param is_idempotent: returns whether a call may run more than once
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         connection_limit: int,
         pause_detector: PauseDetector,
         call_after: Callable[..., None],
+        is_idempotent: Callable[[Call], bool],
     ) -> None:
         self._streams = streams
         self._context = ConnectionContext(
@@ -46,6 +50,7 @@
             body_limit=body_limit,
             pause_detector=pause_detector,
             call_after=call_after,
+            is_idempotent=is_idempotent,
         )
         self._connection_limit = connection_limit
         self._listener: socket.socket | None = None
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from dotterelgate_core.pipelining import is_idempotent
 from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.gateway import Gateway
 from dotterelgate_daemon.log_output import make_decision_writer
@@ -96,6 +97,7 @@
         connection_limit=settings.caller_connections,
         pause_detector=pause_detector,
         call_after=timers.call_after,
+        is_idempotent=lambda call: is_idempotent(state.configuration, call),
     )
     timers.subscribe(interval=PAUSE_CHECK_SECONDS, call=pause_detector.check)
     gateway.hasten_ticks = timers.subscribe(
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
@@ -0,0 +1,82 @@
+"""Requests of callers that are not answered yet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from dotterelgate_core.codes import Refusal
+from dotterelgate_core.messages import Call
+from dotterelgate_daemon.codec import find_header
+from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
+from dotterelgate_daemon.request_bodies import RequestBody
+from dotterelgate_daemon.targets import read_path
+
+if TYPE_CHECKING:
+    from dotterelgate_daemon.caller_responses import CallerResponse
+    from dotterelgate_daemon.codec import HeaderList, RequestHead
+    from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.pending_calls import PendingCall
+
+__all__ = ["IncomingRequest"]
+
+
+@dataclass(kw_only=True)
+class IncomingRequest:
+    """A request that isn't answered yet, and may still be arriving.
+
+    :param begun_at: monotonic second at which its head arrived
+    :param is_continued: whether its caller was told to send the body
+    """
+
+    head: RequestHead
+    response: CallerResponse
+    begun_at: float
+    body: RequestBody = field(default_factory=RequestBody)
+    unread_wait: float = 0.0
+    call: Call | Refusal | None = None
+    pending: PendingCall | None = None
+    is_started: bool = False
+    is_idempotent: bool = False
+    is_continued: bool = False
+
+    def build_call(self, *, gateway: Gateway, body_limit: int) -> Call | Refusal:
+        """Build the call; a body that is not complete will be streamed.
+
+        :param body_limit: bytes of a body that are buffered
+        :returns: a refusal when its headers are not valid
+        """
+        head = self.head
+        terms = gateway.dialect.read_request(head.headers)
+        if isinstance(terms, Refusal):
+            return terms
+        body = self.body.read_from(0)
+        host = (find_header(head.headers, b"host") or b"").decode("latin-1")
+        return Call(
+            id=gateway.allocate_id(),
+            method=head.method,
+            host=host.rsplit(":", 1)[0].lower(),
+            path=read_path(head.target),
+            key=terms.key,
+            fingerprint=compute_fingerprint(head, body) if terms.key is not None else 0,
+            timeout=terms.timeout,
+            streamed=not self.body.is_complete,
+            retried=terms.retried,
+            unread_wait=self.unread_wait,
+            request_id=terms.request_id,
+            identity=compute_identity(head, body, body_limit, terms.credential),
+            credential=terms.credential,
+        )
+
+    def reduce_timeout(self, call: Call, now: float) -> Call:
+        """Subtract the time that has passed since its head arrived from the caller's limit."""
+        if call.timeout is None:
+            return call
+        return replace(call, timeout=max(0.0, call.timeout - (now - self.begun_at)))
+
+    def list_headers(self, host: bytes) -> HeaderList:
+        """List its headers as they are passed on.
+
+        :param host: address of the caller
+        """
+        return [*self.head.headers, (b"x-forwarded-for", host), (b"via", b"1.1 dotterelgate")]
