--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -7,6 +7,7 @@
 from dotterelgate_core.admission import make_admission_filter
 from dotterelgate_core.allowances.borrowing import make_quota_filter
 from dotterelgate_core.allowances.lending import make_lending_filter
+from dotterelgate_core.allowances.returning import make_return_filter
 from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
 from dotterelgate_core.evacuations.refusing import make_refusing_filter
@@ -53,10 +54,11 @@
     ``PeerAnswered``, ``PeerFailed``, ``RelayBegan``, ``SlotFreed``, ``SlotRequested``,
     ``SlotGranted``, ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``,
     ``SuspectsReceived``, ``SuspectCleared``, ``ServersEvacuated``, ``TokensRequested``,
-    ``TokensLent`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
-    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
-    ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``, ``LendTokens``, ``QuotaApplied``,
-    ``CountSecondAttempt``, ``TickAt``, ``RefuseCall`` and ``Decision``.
+    ``TokensLent``, ``TokensReturned`` and ``Ticked``. It emits ``Dispatch``, ``Forward``,
+    ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``,
+    ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``, ``LendTokens``,
+    ``ReturnTokens``, ``QuotaApplied``, ``CountSecondAttempt``, ``TickAt``, ``RefuseCall`` and
+    ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -69,6 +71,7 @@
     key_filters = [make_holding_filter(state), make_owning_filter(state, policies)] if keyed else []
     # Only a platform's configuration has organisations, and its daemons share no keys.
     quota_filters = [] if keyed else [make_lending_filter(state), make_quota_filter(state)]
+    return_filters = [] if keyed else [make_return_filter(state)]
     # Daemons that share no keys share what they know of requests that end servers.
     evidence_filters = [] if keyed else [make_evidence_filter(state)]
     suspect_filters = [] if keyed else [make_suspect_filter(state)]
@@ -91,6 +94,7 @@
         *key_settling_filters,
         make_binding_filter(state, policies),
         make_watching_filter(state),
+        *return_filters,
         make_reply_filter(state, granting),
         make_finishing_filter(state),
     )
