--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -165,6 +165,7 @@
     pool = state.servers.by_service.get(service, [])
     facts = {
         "route": call_state.routed.route.name or call_state.routed.route.prefix,
+        **call_state.describe_organisation(),
         "revision": state.configuration.revision,
         "waiting": state.waiting.find(service).count_waiting(),
         "servers": len(pool),
--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -190,7 +190,11 @@
         sentence=f"{pending.owner} refused: {denied.refusal.reason}",
         call_id=denied.call_id,
         service=call_state.routed.service.name,
-        facts={"owner": pending.owner, "attempts": call_state.attempts},
+        facts={
+            "owner": pending.owner,
+            "attempts": call_state.attempts,
+            **call_state.describe_organisation(),
+        },
     )
     settled = CallSettled(now=denied.now, call_id=denied.call_id, refusal=denied.refusal, ran=False)
     return [decision, settled]
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -184,6 +184,7 @@
     return {
         **({"identity": format_identity(identity)} if identity else {}),
         "route": call_state.routed.route.name or call_state.routed.route.prefix,
+        **call_state.describe_organisation(),
         "attempt": call_state.attempts,
         "waited_ms": round((now - call_state.arrived) * 1000),
         "left_ms": round((call_state.routed.deadline - now) * 1000),
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -88,6 +88,10 @@
         target = self.routed.route.target or self.routed.route.timeout
         return now + EXPECTED_SLOWDOWN * self.work + CALLER_NETWORK_SECONDS <= self.arrived + target
 
+    def describe_organisation(self) -> dict[str, object]:
+        """Name the caller's organisation, if any, as facts of a log line."""
+        return {"organisation": self.organisation_name} if self.organisation_name else {}
+
     @property
     def rank(self) -> Rank:
         """Its place in the order of waiting requests; lower goes first."""
--- a/packages/dotterelgate-core/src/dotterelgate_core/messages.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/messages.py
@@ -315,11 +315,20 @@
     """Order to answer a call with a result code.
 
     :param awaits_answer: whether its backend server's answer is still awaited
+    :param organisation: name of the caller's organisation for the log, empty for none
     """
 
     call_id: int
     refusal: Refusal
     awaits_answer: bool = False
+    organisation: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CredentialsChanged:
+    """A configuration came into force that may lack credentials of waiting calls."""
+
+    now: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -1,4 +1,4 @@
-"""Filters that settle each call: relay an answer, retry, or refuse."""
+"""Filter that settles each call: relay an answer, retry, or refuse."""
 
 from __future__ import annotations
 
@@ -20,8 +20,6 @@
     PeerFailed,
     RefuseCall,
     Relay,
-    ReleaseCall,
-    Replay,
     ServerAnswered,
     SlotFreed,
     Ticked,
@@ -36,7 +34,7 @@
     from dotterelgate_core.pipes import Filter, Message
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["make_finishing_filter", "make_settling_filter"]
+__all__ = ["make_settling_filter"]
 
 
 # Failed connections of one call, with nothing sent, that do not count as attempts.
@@ -270,39 +268,3 @@
 
 def _refuse(now: float, call_id: int, refusal: Refusal, *, ran: bool | None) -> list[Message]:
     return [CallSettled(now=now, call_id=call_id, refusal=refusal, ran=ran)]
-
-
-def make_finishing_filter(state: DaemonState) -> Filter:
-    """Build the filter that turns settled calls into final orders and releases their state."""
-
-    def finish(message: Message) -> Iterable[Message]:
-        if isinstance(message, CallSettled):
-            return _finish_settled(state, message)
-        if isinstance(message, (RefuseCall, Replay)):
-            return _finish_answered(state, message)
-        if isinstance(message, Relay):
-            call_state = state.calls.states.pop(message.call_id, None)
-            if call_state is None or call_state.caller_disconnected:
-                return (ReleaseCall(call_id=message.call_id),)
-        return (message,)
-
-    return finish
-
-
-def _finish_settled(state: DaemonState, settled: CallSettled) -> list[Message]:
-    if settled.refusal is None:
-        return []
-    call_state = state.calls.states.pop(settled.call_id, None)
-    if call_state is None or call_state.caller_disconnected:
-        return [ReleaseCall(call_id=settled.call_id)]
-    refusal = settled.refusal
-    if call_state.may_have_run and refusal.outcome is codes.Outcome.NOT_RUN:
-        refusal = Refusal(codes.REPEAT_FAILED, refusal.reason)
-    return [RefuseCall(call_id=settled.call_id, refusal=refusal)]
-
-
-def _finish_answered(state: DaemonState, message: RefuseCall | Replay) -> list[Message]:
-    if isinstance(message, RefuseCall) and message.awaits_answer:
-        return [message]
-    state.calls.states.pop(message.call_id, None)
-    return [message]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -419,6 +419,7 @@
             status=order.refusal.code.status,
             outcome=order.refusal.outcome.value,
             retry_after=order.refusal.retry_after,
+            **({"organisation": order.organisation} if order.organisation else {}),
         )
         if order.awaits_answer:
             pending.reply = NULL_REPLY
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -84,6 +84,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.waiting = Gauge(
+            "dotterelgate_waiting",
+            "Requests that wait for a slot here, and the organisations that they come from",
+            ["kind"],
+            registry=self.registry,
+        )
         self.suspects = Gauge(
             "dotterelgate_suspect_requests",
             "Requests under which backend servers ended, and those refused for it",
