Refuse waiting requests whose key a newer configuration removes

Cause: requests that waited here or at an owner kept the right that their key had when they arrived. A daemon that had not read the store for some time answered 401, which callers do not repeat, for a key that it may not have known yet. Change: when a configuration comes into force, waiting calls are identified again before any slot is reported free, and refused with 116 credential_revoked (401). An unknown key gets 115 credential_unchecked (503) where the store was read more than 2 s ago.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -28,6 +28,36 @@
       | a key of two organisations        | /orders/1    | key-one    | routed for one  | 1        |
       | a rank out of range               | /orders/1    | key-two    | routed for two  | 0        |
 
+  # Waiting requests kept the right that their key had when they arrived.
+  Scenario Outline: A newer configuration removes a key
+    Given a request with the credential key-two that <state>
+    When a configuration without key-two comes into force <event>
+    Then that request ends as <outcome>
+    And a further request with the credential key-two is unauthenticated
+    And a further request with the credential key-one is routed for one
+
+    Examples: states of the request
+      | state                 | event                                | outcome                                   |
+      | waits here            | and a slot is free                   | refused with credential_revoked           |
+      | waits at an owner     | and the owner grants a slot later    | refused with credential_revoked           |
+      | has been sent         | and its backend server rejects it    | refused with credential_revoked           |
+      | has been sent         | and its backend server answers       | answered                                  |
+      | waits here            | and then an older one is read again  | refused with credential_revoked           |
+
+  # A caller does not repeat a request that was answered 401, so a daemon that was cut off when a
+  # key was added must not answer so.
+  Scenario Outline: What a daemon answers when it has not read the store for some time
+    Given a daemon that has read the store <age> s ago
+    Then a request to <path> with the credential <credential> is <outcome>
+
+    Examples: ages
+      | age | path      | credential | outcome              |
+      | 1.5 | /orders/1 | other      | unauthenticated      |
+      | 2.5 | /orders/1 | other      | credential_unchecked |
+      | 2.5 | /orders/1 | none       | unauthenticated      |
+      | 2.5 | /orders/1 | key-one    | routed for one       |
+      | 2.5 | /open/1   | other      | routed for none      |
+
   Scenario: A backend server gets the caller's organisation and not its credential
     Given the platform with organisations and 2 daemons
     When a request with the credential key-one, which claims to be of two, goes through front-1
--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -4,7 +4,7 @@
 
 import httpx
 from behave import given, then, when
-from subjects.organisations import CHANGES, IdentifiedCalls, build_document
+from subjects.organisations import CHANGES, IdentifiedCalls, RevokedCall, build_document
 
 from dotterelgate_core.messages import Decision
 
@@ -40,6 +40,34 @@
     assert len(context.calls.problems) == len(named) == count, context.calls.problems
 
 
+@given("a request with the credential key-two that {state}")
+def send_revoked(context, state):
+    context.revoked = RevokedCall(state)
+    context.calls = context.revoked.calls
+
+
+@when("a configuration without key-two comes into force {event}")
+def revoke(context, event):
+    context.revoked.revoke()
+    context.revoked.let_happen(event)
+
+
+@then("that request ends as {outcome}")
+def check_revoked(context, outcome):
+    assert context.revoked.describe() == outcome
+
+
+@then("a further request with the credential {credential} is {outcome}")
+def check_further(context, credential, outcome):
+    assert context.calls.send("/orders/1", credential) == outcome
+
+
+@given("a daemon that has read the store {age:g} s ago")
+def let_age(context, age):
+    read(context, "nothing unusual")
+    context.calls.daemon.now += age
+
+
 @given("the platform with organisations and 2 daemons")
 def start(context):
     context.execute_steps("Given the platform with 2 backend servers and no configuration")
--- a/features/subjects/organisations.py
+++ b/features/subjects/organisations.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from dataclasses import dataclass, field
 
-from dotterelgate_core import messages
+from dotterelgate_core import messages, slots
 from dotterelgate_core.configuration import BackendServer
 from dotterelgate_core.organisations.credentials import digest_credential
+from dotterelgate_core.owners import find_owner
 from dotterelgate_core.store_control import ConfigurationStored
+from dotterelgate_core.store_reading import StoreReadEnded
 from dotterelgate_platform.configurations import make_configuration_decoder
-from subjects.store_daemon import StoreDaemon
+from subjects.store_daemon import StoreDaemon, find
 
 HOST = "orders.example"
 
@@ -73,28 +76,128 @@
     """Calls at one daemon whose configuration was read from a document."""
 
     daemon: StoreDaemon = field(default_factory=StoreDaemon)
+    last_id: int = 0
 
     def read_document(self, document):
-        """Put a document's configuration in force, with a backend server for each service."""
+        """Read a document from the store, with a backend server for each of its services.
+
+        :returns: the orders for the request pipeline
+        """
         configuration = make_configuration_decoder(0.2)(json.dumps(document).encode())
-        assert configuration.revision == 7, configuration
+        assert configuration.revision == document["config-version"], configuration
         self.problems = configuration.problems
-        state = self.daemon.state
+        self.read_store()
         self.lines = self.daemon.run_control(
             ConfigurationStored(now=self.daemon.now, configuration=configuration, source="a test")
         )
         for number, service in enumerate(configuration.services):
             server = BackendServer(name=f"s-{number}", address="10.0.0.9:1", slots=3, connections=9)
-            state.servers.add_or_update(service.name, server)
+            self.daemon.state.servers.add_or_update(service.name, server)
+        return self.run_all(self.lines)
+
+    def read_store(self):
+        """Let the daemon read the store to its end, with nothing new."""
+        self.daemon.reading.read_started_at = self.daemon.now
+        self.daemon.run_control(StoreReadEnded(now=self.daemon.now))
+
+    def run_all(self, orders):
+        """Run the control pipeline's orders for requests in their order."""
+        kinds = (messages.CredentialsChanged, messages.SlotFreed)
+        return [
+            order
+            for message in orders
+            if isinstance(message, kinds)
+            for order in self.daemon.run(message)
+        ]
+
+    def arrive(self, path, credential):
+        """Let a call arrive; returns its orders."""
+        digest = digest_credential(credential.encode()) if credential != "none" else b""
+        self.last_id += 1
+        call = messages.Call(id=self.last_id, method="GET", host=HOST, path=path, credential=digest)
+        return self.daemon.run(messages.CallArrived(now=self.daemon.now, wall=0.0, call=call))
 
     def send(self, path, credential):
         """Send a call and return what became of it."""
-        digest = digest_credential(credential.encode()) if credential != "none" else b""
-        call = messages.Call(id=1, method="GET", host=HOST, path=path, credential=digest)
-        orders = self.daemon.run(messages.CallArrived(now=self.daemon.now, wall=0.0, call=call))
-        for order in orders:
-            if isinstance(order, messages.Dispatch):
-                return f"routed for {order.organisation or 'none'}"
-            if isinstance(order, messages.RefuseCall):
-                return order.refusal.code.name
-        raise AssertionError(orders)
+        return describe(self.arrive(path, credential))
+
+
+def describe(orders):
+    """Describe what became of a call."""
+    for order in orders:
+        if isinstance(order, messages.Dispatch):
+            return f"routed for {order.organisation or 'none'}"
+        if isinstance(order, messages.RefuseCall):
+            return order.refusal.code.name
+    raise AssertionError(orders)
+
+
+@dataclass
+class RevokedCall:
+    """A call with key-two, which a newer configuration removes."""
+
+    state: str
+    calls: IdentifiedCalls = field(default_factory=IdentifiedCalls)
+
+    def __post_init__(self):
+        self.calls.read_document(build_document())
+        if self.state == "waits at an owner":
+            self._find_other_owner()
+        taken = 3 if self.state == "waits here" else 0
+        self.taken = [self._arrive("key-one") for _ in range(taken)]
+        self.call_id = self._arrive("key-two")
+        waiting = self.calls.daemon.state.calls.states[self.call_id]
+        assert waiting.queued == self.state.startswith("waits")
+
+    def revoke(self):
+        """Put a configuration without key-two in force."""
+        document = build_document()
+        document["config-version"] = 8
+        document["tenants"][1]["api-keys"] = []
+        self.orders = self.calls.read_document(document)
+
+    def let_happen(self, event):
+        """Let the event happen, and keep its orders."""
+        daemon = self.calls.daemon
+        if "slot is free" in event:
+            self.orders += daemon.answer(self.taken[0], "s-0")
+        elif "grants" in event:
+            assert find(daemon.tick(), slots.WithdrawSlot).owner == self.owner
+            grant = slots.SlotGrant(server="s-0")
+            self.orders += daemon.run(
+                slots.SlotGranted(
+                    now=daemon.now, owner=self.owner, call_id=self.call_id, grant=grant
+                )
+            )
+            self._forget_owner()
+        elif "older" in event:
+            self.orders += self.calls.read_document(build_document())
+            self.orders += daemon.answer(self.taken[0], "s-0")
+        else:
+            self.orders += daemon.answer(self.call_id, "s-0", ran="answers" in event)
+
+    def describe(self):
+        """Describe what became of the call."""
+        own = [each for each in self.orders if getattr(each, "call_id", None) == self.call_id]
+        assert find(own, messages.Dispatch) is None
+        refused = find(own, messages.RefuseCall)
+        if refused is not None:
+            return f"refused with {refused.refusal.code.name}"
+        assert find(own, messages.Relay) is not None, own
+        return "answered"
+
+    def _arrive(self, credential):
+        self.calls.arrive("/orders/1", credential)
+        return self.calls.last_id
+
+    def _find_other_owner(self):
+        daemon = self.calls.daemon
+        names = (f"front-{number}" for number in itertools.count(2))
+        while find_owner(daemon.state, "stock", daemon.now) == daemon.state.name:
+            daemon.receive_heartbeat(next(names))
+            daemon.now += 0.3
+        self.owner = find_owner(daemon.state, "stock", daemon.now)
+
+    def _forget_owner(self):
+        self.calls.daemon.now += 2.0
+        self.calls.read_store()
--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -48,7 +48,9 @@
         self._control = make_store_pipeline(
             self.state, self.registry, self.reading, SamplingState()
         )
-        self._decide = make_request_pipeline(self.state, random.Random(seed), keyed=False)
+        self._decide = make_request_pipeline(
+            self.state, random.Random(seed), keyed=False, reading=self.reading
+        )
 
     def configure(
         self,
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -99,6 +99,20 @@
 OUT_OF_SERVICE = ResultCode(
     114, "out_of_service", 503, _NOT_RUN, "The configuration of its route cannot be used."
 )
+CREDENTIAL_UNCHECKED = ResultCode(
+    115,
+    "credential_unchecked",
+    503,
+    _NOT_RUN,
+    "The credential is not known here, but a newer configuration may hold it.",
+)
+CREDENTIAL_REVOKED = ResultCode(
+    116,
+    "credential_revoked",
+    401,
+    _NOT_RUN,
+    "The credential was removed while the request waited or was retried.",
+)
 DEADLINE_PASSED = ResultCode(
     200, "deadline_passed", 504, _NOT_RUN, "The time limit passed before dispatch."
 )
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -7,6 +7,7 @@
 from dotterelgate_core.admission import make_admission_filter
 from dotterelgate_core.asking import AskingState, make_asking_filter
 from dotterelgate_core.binding import make_binding_filter
+from dotterelgate_core.finishing import make_finishing_filter
 from dotterelgate_core.granting import (
     GrantingState,
     make_granting_filter,
@@ -19,7 +20,7 @@
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.policies import make_policies
 from dotterelgate_core.routes import make_route_filter
-from dotterelgate_core.settling import make_finishing_filter, make_settling_filter
+from dotterelgate_core.settling import make_settling_filter
 from dotterelgate_core.suspecting import make_evidence_filter, make_suspect_filter
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from dotterelgate_core.pipes import Filter
     from dotterelgate_core.policies import Policy
     from dotterelgate_core.state import DaemonState
+    from dotterelgate_core.store_reading import ReadingState
 
 __all__ = ["make_request_pipeline"]
 
@@ -39,21 +41,23 @@
     extra_policies: Mapping[str, Policy] | None = None,
     *,
     keyed: bool = True,
+    reading: ReadingState | None = None,
 ) -> Filter:
     """Build the pipeline that turns the events of calls into orders.
 
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
     ``PeerAnswered``, ``PeerFailed``, ``SlotFreed``, ``SlotRequested``, ``SlotGranted``,
     ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``, ``SuspectsReceived``,
-    ``SuspectCleared`` and ``Ticked``. It emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``,
-    ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``,
-    ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
+    ``SuspectCleared``, ``CredentialsChanged`` and ``Ticked``. It emits ``Dispatch``, ``Forward``,
+    ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``,
+    ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
     :param extra_policies: policies in addition to those that a configuration may name
     :param keyed: whether callers send idempotency keys and queues have owners; without
         them no lease is needed
+    :param reading: when the configuration was read, ``None`` where its age is not known
     """
     policies = {**make_policies(random, state.zone), **(extra_policies or {})}
     granting = GrantingState()
@@ -67,7 +71,7 @@
         *evidence_filters,
         make_observing_filter(state),
         make_settling_filter(state),
-        make_identity_filter(state),
+        make_identity_filter(state, reading),
         *suspect_filters,
         *key_filters,
         make_granting_filter(state, granting),
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_control.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.control_messages import ConfigurationChanged, ControlTicked
-from dotterelgate_core.messages import Decision, SlotFreed
+from dotterelgate_core.messages import CredentialsChanged, Decision, SlotFreed
 from dotterelgate_core.pipes import connect
 from dotterelgate_core.registry import make_registry_filter
 from dotterelgate_core.sampling import make_sampling_filter
@@ -52,7 +52,7 @@
     ``StoreReadEnded``, ``StoreReadFailed``, ``StoreUpdateReceived``, ``StoreEraNamed``,
     ``LoadsReceived``, ``HeartbeatReceived``, ``ServerCheckRequested``, ``ProbeEnded`` and
     ``ControlTicked``. It emits ``ReadStore``, ``StoreRestored``, ``Probe``, ``ServerEnded``,
-    ``ConfigurationChanged``, ``SlotFreed`` and ``Decision``.
+    ``ConfigurationChanged``, ``CredentialsChanged``, ``SlotFreed`` and ``Decision``.
     """
     return connect(
         _make_configuration_filter(state),
@@ -85,6 +85,8 @@
     sentence = f"revision {configuration.revision} is in force, learned from {stored.source}"
     return [
         ConfigurationChanged(now=stored.now, configuration=configuration, source=stored.source),
+        # Before any slot is reported free, so that no waiting call gets one by a revoked key.
+        CredentialsChanged(now=stored.now),
         Decision(part="control", sentence=sentence),
         *_describe_problems(configuration),
         *(SlotFreed(now=stored.now, service=service.name) for service in configuration.services),
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "REPEAT_SECONDS",
+    "STALE_SECONDS",
     "ReadStore",
     "ReadingState",
     "StoreReadEnded",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -5,7 +5,6 @@
 import random
 import time
 import uuid
-from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
@@ -15,7 +14,7 @@
 from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
-from dotterelgate_core.messages import Decision, SlotFreed
+from dotterelgate_core.messages import CredentialsChanged, Decision, SlotFreed
 from dotterelgate_core.peers import PeerTable
 from dotterelgate_core.registry import RegistryState, StoreRestored
 from dotterelgate_core.retries import BudgetTable
@@ -37,6 +36,7 @@
 from dotterelgate_daemon.registry_following import RegistryFollower
 from dotterelgate_daemon.running import Daemon
 from dotterelgate_daemon.slot_exchange import SlotExchange
+from dotterelgate_daemon.state_metrics import watch_state
 from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.store_reader import StoreReader
 from dotterelgate_daemon.suspect_exchange import REMINDER_SECONDS, SuspectExchange
@@ -47,11 +47,9 @@
     from dotterelgate_border.datagrams import Datagram
     from dotterelgate_border.settings import StoreDaemonSettings
     from dotterelgate_core.pipes import Filter, Message
-    from dotterelgate_core.servers import ServerState
     from dotterelgate_daemon.common_parts import CommonParts
     from dotterelgate_daemon.dialect import Dialect
     from dotterelgate_daemon.log_output import LineBuffer
-    from dotterelgate_daemon.metrics import Metrics
     from dotterelgate_daemon.store import StoreCalls
 
 __all__ = ["build_store_daemon"]
@@ -84,14 +82,15 @@
     """
     incarnation = uuid.uuid4().hex[:12]
     state = _build_state(settings)
+    reading = ReadingState()
     base = build_common_parts(
         settings=settings,
         state=state,
         dialect=dialect,
-        decide=make_request_pipeline(state, random.Random(), keyed=False),
+        decide=make_request_pipeline(state, random.Random(), keyed=False, reading=reading),
         lines=lines,
     )
-    control = _connect_control(settings, calls, dialect, base, incarnation)
+    control = _connect_control(settings, calls, dialect, base, reading, incarnation)
     daemon = Daemon(timers=base.timers, lines=lines, reload=reload)
     daemon.begin_stop = GracefulStop(
         linger=settings.stop_linger,
@@ -186,6 +185,7 @@
             ConfigurationChanged: self._change_configuration,
             SlotFreed: on_request_order,
             ServerEnded: on_request_order,
+            CredentialsChanged: on_request_order,
             Decision: lambda decision: base.write_decision(decision, ""),
         }
 
@@ -220,38 +220,16 @@
         self._base.metrics.configuration_problems.set(len(change.configuration.problems))
 
 
-def _watch_statements(state: DaemonState, metrics: Metrics) -> None:
-    kinds: dict[str, Callable[[ServerState], bool]] = {
-        "leaving": lambda server: server.reports_leaving,
-        "pause": lambda server: server.wants_pause(time.monotonic()),
-        "limit": lambda server: server.limit.is_named,
-    }
-
-    def count(states_it: Callable[[ServerState], bool]) -> float:
-        return float(sum(states_it(each) for each in state.servers.states.values()))
-
-    for kind, states_it in kinds.items():
-        metrics.statements.labels(kind=kind).set_function(partial(count, states_it))
-
-
-def _watch_suspects(state: DaemonState, metrics: Metrics) -> None:
-    table = state.suspects
-    metrics.suspects.labels(kind="suspected").set_function(lambda: len(table.list_suspected()))
-    metrics.suspects.labels(kind="refused").set_function(
-        lambda: len(table.list_refused(time.monotonic()))
-    )
-
-
 def _connect_control(
     settings: StoreDaemonSettings,
     calls: StoreCalls,
     dialect: Dialect,
     base: CommonParts,
+    reading: ReadingState,
     incarnation: str,
 ) -> StoreControl:
     state = base.state
     registry = RegistryState()
-    reading = ReadingState()
     sampling = SamplingState()
     prober = Prober(
         dialect=dialect,
@@ -276,8 +254,7 @@
         answer_limit=settings.platform_answer_limit,
         channel="store",
     )
-    _watch_statements(state, base.metrics)
-    _watch_suspects(state, base.metrics)
+    watch_state(state, base.metrics)
     base.metrics.configuration_age.set_function(lambda: time.monotonic() - reading.current_at)
     control.mesh = mesh = Mesh(
         address=settings.peers,
