Replace organisations' keys by digests in the document that daemons exchange

Cause: peers got the operator's document as written, keys included. Change: the adapter replaces the keys before the document is kept for peers; its decoder reads keys and digests. What cannot be read of an organisation is replaced by null, so that peers come to the same problems. All other parts stay as written. Trial: reads routes and services of such a document.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -6,6 +6,7 @@
     Given a stored configuration with <what>
     Then a request to <path> with the credential <credential> is <outcome>
     And <problems> problems are named
+    And a daemon that gets it from a peer does the same, <outcome> and <problems> problems, without a key
 
     Examples: configurations
       | what                              | path         | credential | outcome         | problems |
@@ -27,6 +28,10 @@
       | keys that are not a list          | /orders/1    | key-one    | routed for one  | 1        |
       | a key of two organisations        | /orders/1    | key-one    | routed for one  | 1        |
       | a rank out of range               | /orders/1    | key-two    | routed for two  | 0        |
+      | organisations that are null       | /orders/1    | none       | routed for none | 0        |
+      | an organisation that is a text    | /orders/1    | key-two    | unauthenticated | 1        |
+      | a key that is a number            | /orders/1    | key-one    | routed for one  | 1        |
+      | a key with an escaped letter      | /orders/1    | key-two    | routed for two  | 0        |
 
   # Waiting requests kept the right that their key had when they arrived.
   Scenario Outline: A newer configuration removes a key
@@ -65,3 +70,5 @@
     When requests with odd credentials go through front-1
     Then each is answered 401 and none ran
     And no credential stands in a log, in the metrics or in the status of a daemon
+    When a peer asks front-2 for its configuration
+    Then no credential stands in what it sends, and a build without organisations can read it
--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 import httpx
+import msgspec
 from behave import given, then, when
-from subjects.organisations import CHANGES, IdentifiedCalls, RevokedCall, build_document
+from subjects.organisations import (
+    EarlierConfiguration,
+    IdentifiedCalls,
+    RevokedCall,
+    UnknownPeer,
+    encode_document,
+)
 
 from dotterelgate_core.messages import Decision
+from dotterelgate_platform.credentials import replace_keys
 
 ORGANISATIONS = [{"name": "one", "api-keys": ["key-one"]}, {"name": "two", "api-keys": ["key-two"]}]
 ODD_CREDENTIALS = {
@@ -22,14 +30,14 @@
 
 @given("a stored configuration with {what}")
 def read(context, what):
-    document = build_document()
-    CHANGES[what](document)
+    context.document = encode_document(what)
     context.calls = IdentifiedCalls()
-    context.calls.read_document(document)
+    context.calls.read_document(context.document)
 
 
 @then("a request to {path} with the credential {credential} is {outcome}")
 def check_outcome(context, path, credential, outcome):
+    context.sent = (path, credential)
     assert context.calls.send(path, credential) == outcome
 
 
@@ -40,6 +48,19 @@
     assert len(context.calls.problems) == len(named) == count, context.calls.problems
 
 
+@then(
+    "a daemon that gets it from a peer does the same, {outcome} and {count:d} problems, "
+    "without a key"
+)
+def check_peer(context, outcome, count):
+    document = replace_keys(context.document)
+    assert b"key-" not in document.replace(b"api-key", b"") and document == replace_keys(document)
+    context.calls = IdentifiedCalls()
+    context.calls.read_document(document)
+    assert context.calls.send(*context.sent) == outcome
+    check_problems(context, count)
+
+
 @given("a request with the credential key-two that {state}")
 def send_revoked(context, state):
     context.revoked = RevokedCall(state)
@@ -114,3 +135,16 @@
             httpx.get(f"http://{settings['endpoint']}/status").text,
         ]
         assert not any("key-" in text for text in texts), name
+
+
+@when("a peer asks {name} for its configuration")
+def ask_configuration(context, name):
+    context.document = UnknownPeer().ask(context.platform.settings[name]["peers"])
+
+
+@then("no credential stands in what it sends, and a build without organisations can read it")
+def check_document(context):
+    assert not any(each["api-keys"][0].encode() in context.document for each in ORGANISATIONS)
+    earlier = msgspec.json.decode(context.document, type=EarlierConfiguration)
+    assert [route.path_prefix for route in earlier.routes] == ["/orders/"]
+    assert [service.name for service in earlier.services] == ["stock"]
--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -142,6 +142,7 @@
             calls=SimpleNamespace(
                 decode_registration=decode_registration,
                 decode_configuration=decode_configuration,
+                prepare_for_peers=lambda document: document,
                 configuration_key=CONFIGURATION_KEY,
             ),
             client=None,
--- a/features/subjects/organisations.py
+++ b/features/subjects/organisations.py
@@ -4,8 +4,17 @@
 
 import itertools
 import json
+import socket
+import zlib
 from dataclasses import dataclass, field
+from typing import Literal
 
+from dotterelgate_border.datagrams import (
+    ConfigurationPart,
+    ConfigurationRequest,
+    decode_datagram,
+    encode_datagram,
+)
 from dotterelgate_core import messages, slots
 from dotterelgate_core.configuration import BackendServer
 from dotterelgate_core.organisations.credentials import digest_credential
@@ -13,9 +22,12 @@
 from dotterelgate_core.store_control import ConfigurationStored
 from dotterelgate_core.store_reading import StoreReadEnded
 from dotterelgate_platform.configurations import make_configuration_decoder
+from dotterelgate_platform.documents import Document
 from subjects.store_daemon import StoreDaemon, find
 
 HOST = "orders.example"
+REPLY_SECONDS = 5.0
+DATAGRAM_BYTES = 65_536
 
 
 def build_route(prefix, **more):
@@ -67,10 +79,67 @@
     "a key of two organisations": lambda document: document["tenants"][1].update(
         {"api-keys": ["key-one"]}
     ),
+    "organisations that are null": lambda document: document.update({"tenants": None}),
+    "an organisation that is a text": lambda document: document.update({"tenants": ["key-two"]}),
+    "a key that is a number": lambda document: document["tenants"][1].update(
+        {"api-keys": ["key-two", 2]}
+    ),
+    "a key with an escaped letter": lambda document: None,
     "a rank out of range": lambda document: document["tenants"][1].update({"priority": -(10**9)}),
 }
 
 
+def encode_document(what):
+    """Encode a document with a change of ``CHANGES``."""
+    document = build_document()
+    CHANGES[what](document)
+    encoded = json.dumps(document).encode()
+    return encoded.replace(b"key-two", rb"k\u0065y-two") if "escaped" in what else encoded
+
+
+class EarlierService(Document, frozen=True):
+    """What earlier builds read of a service."""
+
+    name: str
+
+
+class EarlierRoute(Document, frozen=True):
+    """What earlier builds read of a route."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: Literal["safe", "unsafe"]
+    timeout: float
+
+
+class EarlierConfiguration(Document, frozen=True):
+    """What builds without organisations read of a configuration."""
+
+    config_version: int
+    routes: list[EarlierRoute]
+    services: list[EarlierService]
+
+
+class UnknownPeer:
+    """A peer that asks a daemon for its configuration."""
+
+    def ask(self, address):
+        """Return the document that the daemon at an address sends."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as channel:
+            channel.bind(("127.0.0.1", 0))
+            channel.settimeout(REPLY_SECONDS)
+            own = "{}:{}".format(*channel.getsockname())
+            host, port = address.rsplit(":", 1)
+            request = ConfigurationRequest(sender="peer", address=own)
+            channel.sendto(encode_datagram(request), (host, int(port)))
+            part = None
+            while not isinstance(part, ConfigurationPart):
+                part = decode_datagram(channel.recv(DATAGRAM_BYTES))
+        assert part.parts == 1
+        return zlib.decompress(part.body)
+
+
 @dataclass
 class IdentifiedCalls:
     """Calls at one daemon whose configuration was read from a document."""
@@ -83,8 +152,8 @@
 
         :returns: the orders for the request pipeline
         """
-        configuration = make_configuration_decoder(0.2)(json.dumps(document).encode())
-        assert configuration.revision == document["config-version"], configuration
+        configuration = make_configuration_decoder(0.2)(document)
+        assert configuration.revision == json.loads(document)["config-version"], configuration
         self.problems = configuration.problems
         self.read_store()
         self.lines = self.daemon.run_control(
@@ -140,7 +209,7 @@
     calls: IdentifiedCalls = field(default_factory=IdentifiedCalls)
 
     def __post_init__(self):
-        self.calls.read_document(build_document())
+        self.calls.read_document(encode_document("nothing unusual"))
         if self.state == "waits at an owner":
             self._find_other_owner()
         taken = 3 if self.state == "waits here" else 0
@@ -154,7 +223,7 @@
         document = build_document()
         document["config-version"] = 8
         document["tenants"][1]["api-keys"] = []
-        self.orders = self.calls.read_document(document)
+        self.orders = self.calls.read_document(json.dumps(document).encode())
 
     def let_happen(self, event):
         """Let the event happen, and keep its orders."""
@@ -171,7 +240,7 @@
             )
             self._forget_owner()
         elif "older" in event:
-            self.orders += self.calls.read_document(build_document())
+            self.orders += self.calls.read_document(encode_document("nothing unusual"))
             self.orders += daemon.answer(self.taken[0], "s-0")
         else:
             self.orders += daemon.answer(self.call_id, "s-0", ran="answers" in event)
--- a/packages/dotterelgate-core/src/dotterelgate_core/organisations/credentials.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/organisations/credentials.py
@@ -4,7 +4,7 @@
 
 from hashlib import blake2b
 
-__all__ = ["digest_credential"]
+__all__ = ["DIGEST_BYTES", "digest_credential"]
 
 DIGEST_BYTES = 16
 # Separates these digests from those of other uses; all daemons compute the same ones.
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
@@ -87,7 +87,7 @@
             )
             return
         if configuration.revision > self._state.configuration.revision:
-            self._document = document
+            self._document = self._calls.prepare_for_peers(document)
         now = time.monotonic()
         self._emit(ConfigurationStored(now=now, configuration=configuration, source=source))
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
@@ -80,6 +80,8 @@
     :param list_newest: requests the newest record of each key that sorts after a key
     :param read_tail: requests records from an offset on
     :param append: requests to write one record
+    :param prepare_for_peers: takes out of a configuration that was decoded what must not leave
+        this daemon
     :param read_era: reads the store's era from an answer's headers, 0 where it names none
     """
 
@@ -89,6 +91,7 @@
     decode_listing: Callable[[int, bytes], Listing | Refusal]
     decode_tail: Callable[[int, int, bytes], Tail | Refusal]
     decode_configuration: Callable[[bytes], Configuration | Refusal]
+    prepare_for_peers: Callable[[bytes], bytes]
     decode_registration: Callable[[bytes], Registration | Refusal]
     read_era: Callable[[HeaderList], int]
     configuration_key: str
