--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -72,3 +72,9 @@
     And no credential stands in a log, in the metrics or in the status of a daemon
     When a peer asks front-2 for its configuration
     Then no credential stands in what it sends, and a build without organisations can read it
+
+  Scenario: A key that the operator removes ends on connections that stay open
+    Given the platform with organisations and 2 daemons
+    When callers with key-two keep a connection open to each daemon
+    And the operator removes key-two while the store is silent for 1 s
+    Then both callers are answered 401 within 5 s, and never 200 after that
--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import httpx
 import msgspec
 from behave import given, then, when
 from subjects.organisations import (
+    HOST,
     EarlierConfiguration,
     IdentifiedCalls,
     RevokedCall,
@@ -16,6 +19,7 @@
 from dotterelgate_core.messages import Decision
 from dotterelgate_platform.credentials import replace_keys
 
+PAUSE_SECONDS = 0.1
 ORGANISATIONS = [{"name": "one", "api-keys": ["key-one"]}, {"name": "two", "api-keys": ["key-two"]}]
 ODD_CREDENTIALS = {
     "none": {},
@@ -148,3 +152,37 @@
     earlier = msgspec.json.decode(context.document, type=EarlierConfiguration)
     assert [route.path_prefix for route in earlier.routes] == ["/orders/"]
     assert [service.name for service in earlier.services] == ["stock"]
+
+
+@when("callers with key-two keep a connection open to each daemon")
+def open_connections(context):
+    context.callers = {}
+    for name, settings in context.platform.settings.items():
+        headers = {"host": HOST, "credential": "key-two", "request-deadline-ms": "2000"}
+        client = httpx.Client(base_url=f"http://{settings['callers']}", headers=headers)
+        context.cleanups.append(client.close)
+        context.callers[name] = client
+        assert client.post("/orders/a", headers={"request-id": f"o-{name}"}).status_code == 200
+
+
+@when("the operator removes key-two while the store is silent for {seconds:d} s")
+def remove_key(context, seconds):
+    context.platform.publish(11, "/orders/", tenants=ORGANISATIONS[:1])
+    context.removed_at = time.monotonic()
+    context.platform.ask_store("/faults", {"silent": True})
+    time.sleep(seconds)
+    context.platform.ask_store("/faults", {"silent": False})
+
+
+@then("both callers are answered 401 within {limit:d} s, and never 200 after that")
+def check_removed(context, limit):
+    statuses = {name: [] for name in context.callers}
+    while time.monotonic() - context.removed_at < limit + PAUSE_SECONDS:
+        is_late = time.monotonic() - context.removed_at > limit
+        for name, client in context.callers.items():
+            headers = {"request-id": f"{name}-{time.monotonic_ns()}"}
+            status = client.post("/orders/a", headers=headers).status_code
+            assert not is_late or status == 401, (name, status)
+            statuses[name].append(status)
+        time.sleep(PAUSE_SECONDS)
+    assert all(each == sorted(each) and each[-1] == 401 for each in statuses.values()), statuses
