Accept no credential in the first second after a suspension

Cause: a daemon that was suspended while a key was removed accepted the key when it ran again, until it heard of the newer configuration; updates that it received before look new to it then. Change: where ticks were missing for more than 3 s, keys are answered 503 credential_unchecked for 1 s, except on routes that need none.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -63,6 +63,21 @@
       | 2.5 | /orders/1 | key-one    | routed for one       |
       | 2.5 | /open/1   | other      | routed for none      |
 
+  # A daemon that was suspended while a key was removed accepted the key until it heard of that.
+  Scenario Outline: What a daemon answers after it was suspended
+    Given a daemon that was suspended for <pause> s and resumed <since> s ago
+    Then a request to <path> with the credential <credential> is <outcome>
+
+    Examples: suspensions
+      | pause | since | path      | credential | outcome              |
+      | 4.0   | 0.0   | /orders/1 | key-one    | credential_unchecked |
+      | 4.0   | 0.9   | /orders/1 | key-one    | credential_unchecked |
+      | 4.0   | 0.9   | /orders/1 | other      | credential_unchecked |
+      | 4.0   | 0.9   | /open/1   | key-one    | routed for one       |
+      | 4.0   | 0.9   | /open/1   | none       | routed for none      |
+      | 4.0   | 1.1   | /orders/1 | key-one    | routed for one       |
+      | 2.0   | 0.0   | /orders/1 | key-one    | routed for one       |
+
   Scenario: A backend server gets the caller's organisation and not its credential
     Given the platform with organisations and 2 daemons
     When a request with the credential key-one, which claims to be of two, goes through front-1
--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -20,6 +20,7 @@
 from dotterelgate_platform.credentials import replace_keys
 
 PAUSE_SECONDS = 0.1
+TICKS_PER_SECOND = 50
 ORGANISATIONS = [{"name": "one", "api-keys": ["key-one"]}, {"name": "two", "api-keys": ["key-two"]}]
 ODD_CREDENTIALS = {
     "none": {},
@@ -93,6 +94,19 @@
     context.calls.daemon.now += age
 
 
+@given("a daemon that was suspended for {pause:g} s and resumed {since:g} s ago")
+def suspend(context, pause, since):
+    read(context, "nothing unusual")
+    daemon = context.calls.daemon
+    daemon.tick()
+    daemon.now += pause
+    # The first event after the suspension is a request or a tick.
+    for _ in range(round(since * TICKS_PER_SECOND)):
+        daemon.tick()
+        daemon.now += 1.0 / TICKS_PER_SECOND
+    context.calls.read_store()
+
+
 @given("the platform with organisations and 2 daemons")
 def start(context):
     context.execute_steps("Given the platform with 2 backend servers and no configuration")
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -104,7 +104,7 @@
     "credential_unchecked",
     503,
     _NOT_RUN,
-    "The credential is not known here, but a newer configuration may hold it.",
+    "Which credentials are valid is not known here for certain at the moment.",
 )
 CREDENTIAL_REVOKED = ResultCode(
     116,
--- a/packages/dotterelgate-core/src/dotterelgate_core/organisations/identifying.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/organisations/identifying.py
@@ -9,7 +9,7 @@
 from dotterelgate_core.configuration import Priority
 from dotterelgate_core.messages import CallRouted, CallSettled, CredentialsChanged
 from dotterelgate_core.retry_after import choose_retry_after
-from dotterelgate_core.store_reading import STALE_SECONDS
+from dotterelgate_core.store_reading import STALE_SECONDS, is_unchecked
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -79,6 +79,10 @@
     if organisation.problem:
         reason = f"the organisation {organisation.name} is out of service"
         return Refusal(codes.OUT_OF_SERVICE, reason)
+    is_exempt = call_state.routed.route.is_exempt
+    if not is_exempt and reading is not None and is_unchecked(reading, now):
+        # The key may have been removed meanwhile.
+        return _refuse_unchecked(call_state, now, "the daemon was suspended")
     return None
 
 
@@ -93,11 +97,19 @@
         return None
     if not call_state.call.credential:
         return Refusal(codes.UNAUTHENTICATED, "a credential is required")
-    if reading is not None and now - reading.current_at > STALE_SECONDS:
+    if reading is not None and _is_out_of_date(reading, now):
         # Callers do not repeat a request that was answered 401.
         reason = "the credential is not known, and the configuration may be out of date"
-        retry_after = choose_retry_after(call_state, now)
-        return Refusal(codes.CREDENTIAL_UNCHECKED, reason, retry_after=retry_after)
+        return _refuse_unchecked(call_state, now, reason)
     if was_known:
         return Refusal(codes.CREDENTIAL_REVOKED, "the credential was removed")
     return Refusal(codes.UNAUTHENTICATED, "the credential is not known")
+
+
+def _is_out_of_date(reading: ReadingState, now: float) -> bool:
+    return now - reading.current_at > STALE_SECONDS or is_unchecked(reading, now)
+
+
+def _refuse_unchecked(call_state: CallState, now: float, reason: str) -> Refusal:
+    retry_after = choose_retry_after(call_state, now)
+    return Refusal(codes.CREDENTIAL_UNCHECKED, reason, retry_after=retry_after)
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -26,6 +26,7 @@
     "StoreReadEnded",
     "StoreReadFailed",
     "StoreUpdateReceived",
+    "is_unchecked",
     "make_reading_filter",
 ]
 
@@ -49,6 +50,11 @@
 REPEAT_SECONDS = 3.0
 # The platform's bounds on configuration and draining; older knowledge is logged.
 STALE_SECONDS = 2.0
+# Ticks that come later than this show that the daemon was suspended; what it knows may be older
+# than updates that it received before or while it was.
+SUSPENSION_SECONDS = 3.0
+# Time within which a daemon that runs again hears from its peers which configuration is in force.
+RESUMPTION_SECONDS = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +105,8 @@
     :param started_at: monotonic second of the first tick
     :param rank: number of daemons of the zone that rank before this one as readers
     :param ranked_at: monotonic second at which ``rank`` was computed
+    :param ticked_at: monotonic second of the last tick
+    :param resumed_at: monotonic second at which a suspension ended
     :param is_stale: whether the log says that they are older than the platform's bounds
     """
 
@@ -111,9 +119,19 @@
     started_at: float = float("inf")
     rank: int = 0
     ranked_at: float = float("-inf")
+    ticked_at: float = float("inf")
+    resumed_at: float = float("-inf")
     is_stale: bool = False
 
 
+def is_unchecked(reading: ReadingState, now: float) -> bool:
+    """Return whether the daemon was suspended and cannot have heard of newer configurations."""
+    return (
+        now - reading.ticked_at > SUSPENSION_SECONDS
+        or now - reading.resumed_at <= RESUMPTION_SECONDS
+    )
+
+
 def make_reading_filter(
     state: DaemonState, registry: RegistryState, reading: ReadingState
 ) -> Filter:
@@ -123,6 +141,7 @@
         if isinstance(message, ControlTicked):
             reading.started_at = min(reading.started_at, message.now)
             return [
+                *_note_suspension(reading, message.now),
                 *_order_read(state, registry, reading, message.now),
                 *_note_age(registry, reading, message.now),
                 message,
@@ -178,6 +197,15 @@
     return compute_backoff(failures, first=FIRST_BACKOFF_SECONDS, longest=MAX_BACKOFF_SECONDS)
 
 
+def _note_suspension(reading: ReadingState, now: float) -> list[Message]:
+    pause = now - reading.ticked_at
+    reading.ticked_at = now
+    if pause <= SUSPENSION_SECONDS:
+        return []
+    reading.resumed_at = now
+    return [Decision(part="store", sentence=f"the daemon did not run for {pause:.1f} s")]
+
+
 def _note_age(registry: RegistryState, reading: ReadingState, now: float) -> list[Message]:
     age = now - max(reading.current_at, reading.started_at)
     if (age > STALE_SECONDS) == reading.is_stale:
