--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
+import time
+
 import httpx
+import msgspec
 from behave import given, then, when
-from subjects.organisations import CHANGES, IdentifiedCalls, build_document
+from subjects.organisations import (
+    HOST,
+    EarlierConfiguration,
+    IdentifiedCalls,
+    RevokedCall,
+    UnknownPeer,
+    encode_document,
+)
 
 from dotterelgate_core.messages import Decision
+from dotterelgate_platform.credentials import replace_keys
 
+PAUSE_SECONDS = 0.1
+TICKS_PER_SECOND = 50
 ORGANISATIONS = [{"name": "one", "api-keys": ["key-one"]}, {"name": "two", "api-keys": ["key-two"]}]
 ODD_CREDENTIALS = {
     "none": {},
@@ -22,14 +35,14 @@
 
 @given("a stored configuration with {what}")
 def read(context, what):
-    document = build_document()
-    CHANGES[what](document)
+    context.document = encode_document(what)
     context.calls = IdentifiedCalls()
-    context.calls.read_document(document)
+    context.calls.read_document(context.document)
 
 
 @then("a request to {path} with the credential {credential} is {outcome}")
 def check_outcome(context, path, credential, outcome):
+    context.sent = (path, credential)
     assert context.calls.send(path, credential) == outcome
 
 
@@ -40,6 +53,60 @@
     assert len(context.calls.problems) == len(named) == count, context.calls.problems
 
 
+@then(
+    "a daemon that gets it from a peer does the same, {outcome} and {count:d} problems, "
+    "without a key"
+)
+def check_peer(context, outcome, count):
+    document = replace_keys(context.document)
+    assert b"key-" not in document.replace(b"api-key", b"") and document == replace_keys(document)
+    context.calls = IdentifiedCalls()
+    context.calls.read_document(document)
+    assert context.calls.send(*context.sent) == outcome
+    check_problems(context, count)
+
+
+@given("a request with the credential key-two that {state}")
+def send_revoked(context, state):
+    context.revoked = RevokedCall(state)
+    context.calls = context.revoked.calls
+
+
+@when("a configuration without key-two comes into force {event}")
+def revoke(context, event):
+    context.revoked.revoke()
+    context.revoked.let_happen(event)
+
+
+@then("that request ends as {outcome}")
+def check_revoked(context, outcome):
+    assert context.revoked.describe() == outcome
+
+
+@then("a further request with the credential {credential} is {outcome}")
+def check_further(context, credential, outcome):
+    assert context.calls.send("/orders/1", credential) == outcome
+
+
+@given("a daemon that has read the store {age:g} s ago")
+def let_age(context, age):
+    read(context, "nothing unusual")
+    context.calls.daemon.now += age
+
+
+@given("a daemon that was suspended for {pause:g} s and resumed {since:g} s ago")
+def suspend(context, pause, since):
+    read(context, "nothing unusual")
+    daemon = context.calls.daemon
+    daemon.tick()
+    daemon.now += pause
+    # The first event after the suspension is a request or a tick.
+    for _ in range(round(since * TICKS_PER_SECOND)):
+        daemon.tick()
+        daemon.now += 1.0 / TICKS_PER_SECOND
+    context.calls.read_store()
+
+
 @given("the platform with organisations and 2 daemons")
 def start(context):
     context.execute_steps("Given the platform with 2 backend servers and no configuration")
@@ -86,3 +153,50 @@
             httpx.get(f"http://{settings['endpoint']}/status").text,
         ]
         assert not any("key-" in text for text in texts), name
+
+
+@when("a peer asks {name} for its configuration")
+def ask_configuration(context, name):
+    context.document = UnknownPeer().ask(context.platform.settings[name]["peers"])
+
+
+@then("no credential stands in what it sends, and a build without organisations can read it")
+def check_document(context):
+    assert not any(each["api-keys"][0].encode() in context.document for each in ORGANISATIONS)
+    earlier = msgspec.json.decode(context.document, type=EarlierConfiguration)
+    assert [route.path_prefix for route in earlier.routes] == ["/orders/"]
+    assert [service.name for service in earlier.services] == ["stock"]
+
+
+@when("callers with key-two keep a connection open to each daemon")
+def open_connections(context):
+    context.callers = {}
+    for name, settings in context.platform.settings.items():
+        headers = {"host": HOST, "credential": "key-two", "request-deadline-ms": "2000"}
+        client = httpx.Client(base_url=f"http://{settings['callers']}", headers=headers)
+        context.cleanups.append(client.close)
+        context.callers[name] = client
+        assert client.post("/orders/a", headers={"request-id": f"o-{name}"}).status_code == 200
+
+
+@when("the operator removes key-two while the store is silent for {seconds:d} s")
+def remove_key(context, seconds):
+    context.platform.publish(11, "/orders/", tenants=ORGANISATIONS[:1])
+    context.removed_at = time.monotonic()
+    context.platform.ask_store("/faults", {"silent": True})
+    time.sleep(seconds)
+    context.platform.ask_store("/faults", {"silent": False})
+
+
+@then("both callers are answered 401 within {limit:d} s, and never 200 after that")
+def check_removed(context, limit):
+    statuses = {name: [] for name in context.callers}
+    while time.monotonic() - context.removed_at < limit + PAUSE_SECONDS:
+        is_late = time.monotonic() - context.removed_at > limit
+        for name, client in context.callers.items():
+            headers = {"request-id": f"{name}-{time.monotonic_ns()}"}
+            status = client.post("/orders/a", headers=headers).status_code
+            assert not is_late or status == 401, (name, status)
+            statuses[name].append(status)
+        time.sleep(PAUSE_SECONDS)
+    assert all(each == sorted(each) and each[-1] == 401 for each in statuses.values()), statuses
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -37,6 +37,7 @@
     from dotterelgate_core.pipes import Filter
     from dotterelgate_core.policies import Policy
     from dotterelgate_core.state import DaemonState
+    from dotterelgate_core.store_reading import ReadingState
 
 __all__ = ["make_request_pipeline"]
 
@@ -47,24 +48,26 @@
     extra_policies: Mapping[str, Policy] | None = None,
     *,
     keyed: bool = True,
+    reading: ReadingState | None = None,
 ) -> Filter:
     """Build the pipeline that turns the events of calls into orders.
 
     It handles ``CallArrived``, ``CallerDisconnected``, ``ServerAnswered``, ``DispatchFailed``,
     ``PeerAnswered``, ``PeerFailed``, ``RelayBegan``, ``SlotFreed``, ``SlotRequested``,
     ``SlotGranted``, ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``,
-    ``SuspectsReceived``, ``SuspectCleared``, ``ServersEvacuated``, ``TokensRequested``,
-    ``TokensLent``, ``TokensReturned`` and ``Ticked``. It emits ``Dispatch``, ``Forward``,
-    ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``, ``DenySlot``,
-    ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``, ``LendTokens``,
-    ``ReturnTokens``, ``QuotaApplied``, ``CountSecondAttempt``, ``TickAt``, ``RefuseCall`` and
-    ``Decision``.
+    ``SuspectsReceived``, ``SuspectCleared``, ``ServersEvacuated``, ``CredentialsChanged``,
+    ``TokensRequested``, ``TokensLent``, ``TokensReturned`` and ``Ticked``. It emits ``Dispatch``,
+    ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``,
+    ``DenySlot``, ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``,
+    ``LendTokens``, ``ReturnTokens``, ``QuotaApplied``, ``CountSecondAttempt``, ``TickAt``,
+    ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
     :param extra_policies: policies in addition to those that a configuration may name
     :param keyed: whether callers send idempotency keys and queues have owners; without
         them no lease is needed
+    :param reading: when the configuration was read, ``None`` where its age is not known
     """
     policies = {**make_policies(random, state.zone), **(extra_policies or {})}
     granting = GrantingState()
@@ -82,7 +85,7 @@
         make_observing_filter(state),
         make_settling_filter(state),
         make_relay_filter(state),
-        make_identity_filter(state),
+        make_identity_filter(state, reading),
         *quota_filters,
         *suspect_filters,
         *key_filters,
--- a/packages/dotterelgate-core/src/dotterelgate_core/finishing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/finishing.py
@@ -1,4 +1,4 @@
-"""Filter that turns settled calls into final orders."""
+"""Filter that turns settled calls into final orders and releases their state."""
 
 from __future__ import annotations
 
@@ -43,7 +43,8 @@
     refusal = settled.refusal
     if call_state.may_have_run and refusal.outcome is codes.Outcome.NOT_RUN:
         refusal = Refusal(codes.REPEAT_FAILED, refusal.reason)
-    return [RefuseCall(call_id=settled.call_id, refusal=refusal)]
+    organisation = call_state.organisation_name
+    return [RefuseCall(call_id=settled.call_id, refusal=refusal, organisation=organisation)]
 
 
 def _finish_answered(state: DaemonState, message: RefuseCall | Replay) -> list[Message]:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -408,6 +408,7 @@
             status=order.refusal.code.status,
             outcome=order.refusal.outcome.value,
             retry_after=order.refusal.retry_after,
+            **({"organisation": order.organisation} if order.organisation else {}),
         )
         self._count_answer(pending, order.refusal.code.name)
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
@@ -82,6 +82,8 @@
     :param append: requests to write one record
     :param read_evacuated_zone: reads which availability zone a key of the configuration's topic
         evacuates, ``None`` for a key of another kind
+    :param prepare_for_peers: takes out of a configuration that was decoded what must not leave
+        this daemon
     :param read_era: reads the store's era from an answer's headers, 0 where it names none
     """
 
@@ -91,6 +93,7 @@
     decode_listing: Callable[[int, bytes], Listing | Refusal]
     decode_tail: Callable[[int, int, bytes], Tail | Refusal]
     decode_configuration: Callable[[bytes], Configuration | Refusal]
+    prepare_for_peers: Callable[[bytes], bytes]
     decode_registration: Callable[[bytes], Registration | Refusal]
     read_era: Callable[[HeaderList], int]
     configuration_key: str
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -15,7 +15,7 @@
 from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
-from dotterelgate_core.messages import Decision, SlotFreed
+from dotterelgate_core.messages import CredentialsChanged, Decision, SlotFreed
 from dotterelgate_core.peers import PeerTable
 from dotterelgate_core.registry import RegistryState, StoreRestored
 from dotterelgate_core.retries import BudgetTable
@@ -85,14 +85,15 @@
     """
     incarnation = uuid.uuid4().hex[:12]
     state = _build_state(settings)
+    reading = ReadingState()
     base = build_common_parts(
         settings=settings,
         state=state,
         dialect=dialect,
-        decide=make_request_pipeline(state, random.Random(), keyed=False),
+        decide=make_request_pipeline(state, random.Random(), keyed=False, reading=reading),
         lines=lines,
     )
-    control = _connect_control(settings, calls, dialect, base, incarnation)
+    control = _connect_control(settings, calls, dialect, base, reading, incarnation)
     daemon = Daemon(timers=base.timers, lines=lines, reload=reload)
     daemon.begin_stop = GracefulStop(
         linger=settings.stop_linger,
@@ -189,6 +190,7 @@
             SlotFreed: on_request_order,
             ServersEvacuated: on_request_order,
             ServerEnded: on_request_order,
+            CredentialsChanged: on_request_order,
             Decision: lambda decision: base.write_decision(decision, ""),
         }
 
@@ -228,11 +230,11 @@
     calls: StoreCalls,
     dialect: Dialect,
     base: CommonParts,
+    reading: ReadingState,
     incarnation: str,
 ) -> StoreControl:
     state = base.state
     registry = RegistryState()
-    reading = ReadingState()
     sampling = SamplingState()
     prober = Prober(
         dialect=dialect,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_watches.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_watches.py
@@ -29,6 +29,7 @@
     _watch_statements(state, metrics)
     _watch_suspects(state, metrics)
     _watch_evacuations(state, metrics)
+    _watch_waiting(state, metrics)
 
 
 def _watch_statements(state: DaemonState, metrics: Metrics) -> None:
@@ -68,3 +69,13 @@
     metrics.suspects.labels(kind="refused").set_function(
         lambda: len(table.list_refused(time.monotonic()))
     )
+
+
+def _watch_waiting(state: DaemonState, metrics: Metrics) -> None:
+    queues = state.waiting.queues
+    metrics.waiting.labels(kind="requests").set_function(
+        lambda: sum(queue.count_waiting() for queue in queues.values())
+    )
+    metrics.waiting.labels(kind="organisations").set_function(
+        lambda: sum(queue.count_flows() for queue in queues.values())
+    )
