--- a/features/subjects/cold_servers.py
+++ b/features/subjects/cold_servers.py
@@ -36,13 +36,14 @@
     """A daemon whose service limits cold servers."""
 
     warm_up_rate = 0.0
+    cold_seconds = COLD_SECONDS
 
     def configure(self, revision=1, **options):
         """Put a configuration with a warm-up limit in force."""
         super().configure(revision, **options)
         current = self.state.configuration.current
         services = tuple(
-            replace(each, warm_up_rate=self.warm_up_rate, warm_up_seconds=COLD_SECONDS)
+            replace(each, warm_up_rate=self.warm_up_rate, warm_up_seconds=self.cold_seconds)
             for each in current.services
         )
         limited = replace(current, revision=revision + 1, services=services)
