Hold one object for each attempt of a call in the gateway

A call kept one exchange, head, body, status and terms, so a second attempt would have overwritten those of the first. ServerAttempt holds them; PendingCall.attempts holds the attempts by backend server. Before a large answer is relayed the decisions choose the attempt (RelayBegan). Settings hedging_share (0) and hedging_slots (0.3), metric dotterelgate_second_attempts.

--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -81,6 +81,12 @@
     metrics: Annotated[Address, _describe("address of the metrics for the platform")]
     retry_share: Annotated[float, _bound(0, 1, "retries allowed per request")] = 0.1
     retry_burst: Annotated[float, _bound(0, 100, "retries that a service can save up")] = 1.5
+    hedging_share: Annotated[
+        float, _bound(0, 0.2, "second attempts allowed for each request; 0 for none")
+    ] = 0.0
+    hedging_slots: Annotated[
+        float, _bound(0, 1, "share of a service's slots that must be free for one")
+    ] = 0.3
 
 
 def read_settings(path: Path, model: type[AnySettings]) -> AnySettings:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -10,14 +10,15 @@
 from dotterelgate_core import codes, messages
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.control_messages import AnnounceLeaving
-from dotterelgate_core.learning import FIRST_FAILURE_STATUS
+from dotterelgate_core.hedging.second_attempts import CountSecondAttempt, RelayBegan, TickAt
 from dotterelgate_daemon.codec import (
     encode_request_head,
     select_end_to_end,
 )
 from dotterelgate_daemon.dialect import DispatchTerms
 from dotterelgate_daemon.exchanges import Exchange
-from dotterelgate_daemon.replies import NULL_REPLY, AnswerStart, StoredAnswer
+from dotterelgate_daemon.replies import NULL_REPLY, StoredAnswer
+from dotterelgate_daemon.server_attempts import ServerAttempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +26,7 @@
     from dotterelgate_core.codes import ResultCode
     from dotterelgate_core.messages import Dispatch
     from dotterelgate_core.pipes import Filter, Message
-    from dotterelgate_daemon.codec import AnswerHead, HeaderList
+    from dotterelgate_daemon.codec import HeaderList
     from dotterelgate_daemon.dialect import Dialect
     from dotterelgate_daemon.exchanges import ExchangeEnd
     from dotterelgate_daemon.metrics import Metrics
@@ -93,6 +94,8 @@
             messages.ReleaseCall: self._release,
             messages.Decision: self._write_decision,
             AnnounceLeaving: lambda order: self.announce_leaving(order),
+            CountSecondAttempt: self._count_second_attempt,
+            TickAt: self._tick_at,
         }
 
     def add_sinks(self, sinks: dict[type, Callable[[Message], None]]) -> None:
@@ -126,8 +129,7 @@
     @staticmethod
     def _release_body(pending: PendingCall) -> None:
         """Release what no attempt needs of the body of a call whose caller has disconnected."""
-        exchange = pending.exchange
-        if not pending.body.is_complete or exchange is not None and exchange.has_sent_body:
+        if not pending.body.is_complete or pending.has_sent_body:
             if pending.call.key is None:
                 pending.body.discard()
         elif pending.call.key is None:
@@ -157,34 +159,38 @@
         """Let the pipeline act on time limits that have passed."""
         self.run(messages.Ticked(now=time.monotonic()))
 
+    def _tick_at(self, order: TickAt) -> None:
+        self._call_after(delay=max(0.0, order.at - time.monotonic()), call=self.tick)
+
+    def _count_second_attempt(self, order: CountSecondAttempt) -> None:
+        self._metrics.second_attempts.labels(result=order.result.value).inc()
+
     def is_body_full(self, pending: PendingCall) -> bool:
         """Return whether reading of the request body should pause."""
-        stream = pending.exchange.stream if pending.exchange is not None else None
-        if stream is None:
+        if pending.stream is None:
             return pending.body.held_bytes > self._buffer_limit
-        return stream.is_full
+        return pending.stream.is_full
 
     def _dispatch(self, order: Dispatch) -> None:
         pending = self.pending.get(order.call_id)
         if pending is None:
             return
-        self._reset_answer(pending)
         server = order.server
-        exchange = Exchange(
+        attempt = pending.attempts[server.name] = ServerAttempt(server=server.name)
+        attempt.exchange = exchange = Exchange(
             method=pending.call.method,
             head=self._encode_head(pending, order),
             body=pending.body,
             chunked=pending.length is None,
-            begin=lambda head: self._begin_answer(pending, head, server.name),
-            part=lambda part: self._receive_part(pending, part),
-            completed=lambda: self._finish_answer(pending, server.name),
-            failed=lambda end: self._fail_answer(pending, server.name, end),
+            begin=lambda head: attempt.begin_answer(head, self.dialect.control),
+            part=lambda part: self._receive_part(pending, attempt, part),
+            completed=lambda: self._finish_answer(pending, attempt),
+            failed=lambda end: self._fail_answer(pending, attempt, end),
             drained=pending.resume_caller if pending.call.streamed else None,
-            matches_request=lambda headers: self._matches_request(pending, headers),
+            matches_request=lambda headers: self._matches_request(pending, attempt, headers),
             allows_close_delimited=self.dialect.allows_close_delimited,
             request_id=pending.call.request_id if self.dialect.answers_name_requests else "",
         )
-        pending.exchange = exchange
         limit = max(server.slots, server.connections // max(1, self._count_daemons()))
         self._metrics.dispatches.labels(server=server.name).inc()
         pool = self._pools.find(server.address, limit=limit)
@@ -215,11 +221,13 @@
             headers.append((b"content-length", b"%d" % pending.length))
         return encode_request_head(pending.call.method, pending.target, headers)
 
-    def _matches_request(self, pending: PendingCall, headers: HeaderList) -> bool:
+    def _matches_request(
+        self, pending: PendingCall, attempt: ServerAttempt, headers: HeaderList
+    ) -> bool:
         """Read an answer's headers and return whether it answers this request."""
         terms = self.dialect.read_answer(headers)
         if self.dialect.is_answer_to(terms, pending.call.request_id):
-            pending.terms = terms
+            attempt.terms = terms
             return True
         logger.warning(
             "gateway: an answer to another request was dropped",
@@ -228,77 +236,75 @@
         )
         return False
 
-    def _begin_answer(self, pending: PendingCall, head: AnswerHead, server: str) -> None:
-        pending.status = head.status
-        assert pending.terms is not None
-        if pending.exchange is not None:
-            pending.exchange.idle_seconds = pending.terms.idle_seconds
-            pending.exchange.is_failure = (
-                pending.terms.not_run or head.status >= FIRST_FAILURE_STATUS
-            )
-        headers = select_end_to_end(head.headers, self.dialect.control)
-        pending.start = AnswerStart(
-            status=head.status, headers=headers, length=head.length, server=server
-        )
-
-    def _receive_part(self, pending: PendingCall, part: bytes) -> None:
+    def _receive_part(self, pending: PendingCall, attempt: ServerAttempt, part: bytes) -> None:
         if pending.relay_started:
             pending.reply.part(part)
         else:
-            pending.answer_body += part
-            if len(pending.answer_body) <= self._buffer_limit:
+            attempt.body += part
+            if len(attempt.body) <= self._buffer_limit:
                 return
-            if _is_not_run(pending):
-                self._fail_exchange(pending, codes.ANSWER_INVALID, "a refusal with a large body")
+            if attempt.is_refusal:
+                _fail(attempt, codes.ANSWER_INVALID, "a refusal with a large body")
+                return
+            if not self._begin_relay(pending, attempt):
                 return
-            assert pending.start is not None
-            pending.relay_started = True
-            pending.reply.begin(pending.start)
-            pending.reply.part(bytes(pending.answer_body))
-            pending.answer_body.clear()
         if pending.reply is NULL_REPLY:
             # Nobody reads the rest, which may have no end.
-            self._fail_exchange(pending, codes.CALLER_GONE, "the caller left during its answer")
+            _fail(attempt, codes.CALLER_GONE, "the caller left during its answer")
             return
-        if pending.reply.is_full() and pending.exchange is not None:
-            if pending.exchange.stream is not None:
-                pending.exchange.stream.pause()
+        if pending.reply.is_full() and pending.stream is not None:
+            pending.stream.pause()
 
-    @staticmethod
-    def _fail_exchange(pending: PendingCall, code: ResultCode, reason: str) -> None:
-        if pending.exchange is not None:
-            pending.exchange.fail(Refusal(code, reason))
+    def _begin_relay(self, pending: PendingCall, attempt: ServerAttempt) -> bool:
+        """Relay what has arrived of an answer.
+
+        :returns: whether the attempt was not cancelled instead, in favour of another
+        """
+        assert attempt.start is not None
+        began = RelayBegan(
+            now=time.monotonic(),
+            call_id=pending.call.id,
+            server=attempt.server,
+            status=attempt.status,
+        )
+        self.run(began)
+        if pending.attempts.get(attempt.server) is not attempt:
+            return False
+        pending.relay_started = True
+        pending.reply.begin(attempt.start)
+        pending.reply.part(bytes(attempt.body))
+        attempt.body.clear()
+        return True
 
     def resume_answer(self, call_id: int) -> None:
         """Resume reading from the backend server after the reply was full."""
         pending = self.pending.get(call_id)
-        if pending is not None and pending.exchange is not None:
-            if pending.exchange.stream is not None:
-                pending.exchange.stream.resume()
-
-    def _finish_answer(self, pending: PendingCall, server: str) -> None:
-        assert pending.start is not None and pending.terms is not None
-        pending.exchange = None
-        if not pending.relay_started:
-            pending.complete_answer = _build_stored_answer(pending.start, pending.answer_body)
+        if pending is not None and pending.stream is not None:
+            pending.stream.resume()
+
+    def _finish_answer(self, pending: PendingCall, attempt: ServerAttempt) -> None:
+        assert attempt.terms is not None
+        pending.attempts.pop(attempt.server, None)
+        pending.status = attempt.status
+        pending.complete_answer = None if pending.relay_started else attempt.build_answer()
         message = messages.ServerAnswered(
             now=time.monotonic(),
             wall=time.time(),
             call_id=pending.call.id,
-            server=server,
-            status=pending.status,
-            ran=not pending.terms.not_run,
-            report=pending.terms.report,
+            server=attempt.server,
+            status=attempt.status,
+            ran=not attempt.is_refusal,
+            report=attempt.terms.report,
             stored_answer=self._select_storable(pending.complete_answer),
         )
         self.run(message)
 
-    def _fail_answer(self, pending: PendingCall, server: str, end: ExchangeEnd) -> None:
-        pending.exchange = None
+    def _fail_answer(self, pending: PendingCall, attempt: ServerAttempt, end: ExchangeEnd) -> None:
+        pending.attempts.pop(attempt.server, None)
         message = messages.DispatchFailed(
             now=time.monotonic(),
             call_id=pending.call.id,
-            server=server,
+            server=attempt.server,
             sent=end.sent,
             relay_started=pending.relay_started,
             refusal=end.refusal,
@@ -351,7 +357,7 @@
         pending = self.pending.get(order.call_id)
         if pending is None:
             return
-        self._reset_answer(pending)
+        pending.next_part = 0
         pending.peer = order.peer
         self._metrics.handovers.labels(purpose=order.purpose.value).inc()
         self.send_call(order, pending)
@@ -360,10 +366,10 @@
         pending = self.pending.get(order.call_id)
         if pending is None:
             return
-        if pending.exchange is not None:
-            pending.exchange.abandon()
-            pending.exchange = None
-        if pending.peer is not None:
+        attempt = pending.attempts.pop(order.server, None) if order.server is not None else None
+        if attempt is not None and attempt.exchange is not None:
+            attempt.exchange.abandon()
+        if order.peer is not None and pending.peer is not None:
             self.withdraw(order.call_id, pending.peer)
             pending.peer = None
 
@@ -441,28 +447,12 @@
         self._metrics.answers.labels(result=result).inc()
         self._metrics.latency.observe(time.monotonic() - pending.arrived)
 
-    def _reset_answer(self, pending: PendingCall) -> None:
-        pending.start = None
-        pending.answer_body.clear()
-        pending.terms = None
-        pending.complete_answer = None
-        pending.next_part = 0
-
     def _select_storable(self, complete_answer: StoredAnswer | None) -> StoredAnswer | None:
         if complete_answer is None or len(complete_answer.body) > self._stored_body_limit:
             return None
         return complete_answer
 
 
-def _is_not_run(pending: PendingCall) -> bool:
-    return pending.terms is not None and pending.terms.not_run
-
-
-def _build_stored_answer(start: AnswerStart, body: bytearray) -> StoredAnswer:
-    return StoredAnswer(
-        status=start.status,
-        headers=start.headers,
-        body=bytes(body),
-        server=start.server,
-        length=start.length,
-    )
+def _fail(attempt: ServerAttempt, code: ResultCode, reason: str) -> None:
+    if attempt.exchange is not None:
+        attempt.exchange.fail(Refusal(code, reason))
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -46,6 +46,12 @@
             ["server"],
             registry=self.registry,
         )
+        self.second_attempts = Counter(
+            "dotterelgate_second_attempts",
+            "Second attempts of slow requests, by result",
+            ["result"],
+            registry=self.registry,
+        )
         self.handovers = Counter(
             "dotterelgate_handovers",
             "Requests handed to a peer, by purpose",
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -130,7 +130,7 @@
     return DaemonState(
         name=settings.name,
         zone=settings.zone,
-        limits=Limits(),
+        limits=Limits(hedging_share=settings.hedging_share, hedging_slots=settings.hedging_slots),
         peers=PeerTable(name=settings.name),
         # Requests carry no keys here and queues have no owners, so nothing is leased.
         leases=LeaseTable(holder=settings.name, incarnation="", address="", length=1.0),
