Show with processes that a second attempt replaces a silent server

A stand-in with the fault "no answer" runs a request and never answers it. Each of two daemons, one of which owns the service, answers the read from another server, closes the silent connection and shows it in log lines and metrics.

--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -110,6 +110,14 @@
       | cold i-1 i-2     | overloaded |
       | leaving i-1 i-2  | overloaded |
 
+  Scenario: A backend server that does not answer is replaced
+    Given 3 backend servers and 2 daemons that start second attempts
+    And 40 usual reads went through each
+    When reads go through each daemon until i-1 has left one without an answer
+    Then all of them were answered by a backend server
+    And the connections without an answer are closed
+    And log lines and metrics show the second attempts that answered them
+
   Scenario: Random schedules of two attempts
     When random schedules of slow reads and writes are run
     Then no call has more attempts than allowed, and one answer each
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -4,8 +4,10 @@
 
 from behave import given, then, when
 from subjects.hedging import OWNER, HedgingDaemon
+from subjects.hedging_processes import DAEMONS, HedgingPlatform
 from subjects.hedging_schedules import run_schedules
 
+from dotterelgate_bench.fleet import wait_until
 from dotterelgate_core.slots import GrantSlot, RequestSlot
 
 REQUESTS = {
@@ -120,6 +122,41 @@
     assert all(each.requester is None for each in calls.values())
 
 
+@given("{servers:d} backend servers and 2 daemons that start second attempts")
+def start_platform(context, servers):
+    context.hedging = HedgingPlatform(servers=servers)
+    context.cleanups.append(context.hedging.stop)
+    context.hedging.start()
+
+
+@given("{count:d} usual reads went through each")
+def send_usual(context, count):
+    context.hedging.send_usual(count)
+
+
+@when("reads go through each daemon until {server} has left one without an answer")
+def send_until_silent(context, server):
+    context.hedging.send_until_silent(server)
+
+
+@then("all of them were answered by a backend server")
+def check_answered(context):
+    assert set(context.hedging.statuses) == {200}, context.hedging.statuses
+
+
+@then("the connections without an answer are closed")
+def check_closed(context):
+    wait_until(context.hedging.are_closed, seconds=3, what="the connections are closed")
+
+
+@then("log lines and metrics show the second attempts that answered them")
+def check_shown(context):
+    wait_until(context.hedging.is_logged, seconds=3, what="the log lines are written")
+    for name in DAEMONS:
+        assert context.hedging.read_count(name, "started") >= 1
+        assert context.hedging.read_count(name, "won") >= 1
+
+
 @when("random schedules of slow reads and writes are run")
 def run_random_schedules(context):
     context.faults = run_schedules()
