--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -110,6 +110,12 @@
       | cold i-1 i-2     | overloaded |
       | leaving i-1 i-2  | overloaded |
 
+  Scenario: Under load the slowest answers are faster, within the share
+    Given 6 daemons of a zone under 60 requests a second, seed 1
+    When they run without second attempts and with a share of 0.1
+    Then the slowest hundredth of the answers is faster with them
+    And there are at most 0.1 second attempts for each request
+
   Scenario: A backend server that does not answer is replaced
     Given 3 backend servers and 2 daemons that start second attempts
     And 40 usual reads went through each
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
+from subjects.hedged_zone import HedgedZone
 from subjects.hedging import OWNER, HedgingDaemon
 from subjects.hedging_processes import DAEMONS, HedgingPlatform
 from subjects.hedging_schedules import run_schedules
@@ -122,6 +123,29 @@
     assert all(each.requester is None for each in calls.values())
 
 
+@given("{daemons:d} daemons of a zone under {rate:d} requests a second, seed {seed:d}")
+def set_load(context, daemons, rate, seed):
+    context.load = {"daemons": daemons, "rate": lambda _: rate, "seed": seed, "seconds": 30.0}
+
+
+@when("they run without second attempts and with a share of {share:g}")
+def run_load(context, share):
+    context.without = HedgedZone(share=0.0, **context.load).run()
+    context.hedged = HedgedZone(share=share, **context.load).run()
+
+
+@then("the slowest hundredth of the answers is faster with them")
+def compare_slowest(context):
+    before, after = (each.find_percentile(0.99) for each in (context.without, context.hedged))
+    assert after < before, (after, before)
+
+
+@then("there are at most {share:g} second attempts for each request")
+def check_share(context, share):
+    started = context.hedged.counts["started"]
+    assert 0 < started <= share * context.hedged.first_attempts, started
+
+
 @given("{servers:d} backend servers and 2 daemons that start second attempts")
 def start_platform(context, servers):
     context.hedging = HedgingPlatform(servers=servers)
--- a/features/subjects/limited_zones.py
+++ b/features/subjects/limited_zones.py
@@ -165,7 +165,7 @@
         if not self._turns_away(name):
             super()._start(key, name)
             return
-        del self._dispatched[key]
+        self._dispatched.remove(key)
         self._schedule(SERVER_NETWORK_SECONDS, lambda: self._turn_away(key, name))
 
     def _turns_away(self, name: str) -> bool:
@@ -179,7 +179,7 @@
         self._told_pause.setdefault((key[0], name), self.now)
         if self.now >= self._told_pause[key[0], name] + self.pause:
             self._told_pause[key[0], name] = self.now
-        self.ran.discard(key)
+        self.ran.discard(key[:2])
         orders = daemon.answer(key[1], name, status=503, ran=False, pause=self.pause)
         self._carry_out(daemon, orders)
 
--- a/features/subjects/zone.py
+++ b/features/subjects/zone.py
@@ -10,6 +10,7 @@
 from dotterelgate_border.datagrams import LoadUpdate
 from dotterelgate_core import messages
 from dotterelgate_core.control_messages import Probe
+from dotterelgate_core.hedging.second_attempts import TickAt
 from dotterelgate_core.owners import select_listeners
 from dotterelgate_core.slots import (
     DenySlot,
@@ -113,7 +114,8 @@
                 zone = self._find_server_zone(offset)
                 daemon.register(name, offset=offset, slots=self.slots, zone=zone)
         self._calls: dict[tuple[int, int], CallerRequest] = {}
-        self._dispatched: dict[tuple[int, int], str] = {}
+        # By the id of the daemon, the id of the call and the backend server.
+        self._dispatched: set[tuple[int, int, str]] = set()
         self.now = begin = self._daemons[0].now
         step = 0
         while self.now - begin < self.seconds + self.limit:
@@ -214,9 +216,9 @@
             if isinstance(order, messages.SlotFreed):
                 self._carry_out(daemon, daemon.run(order))
             elif isinstance(order, messages.Dispatch):
-                key = (id(daemon), order.call_id)
-                self.ran.add(key)
-                self._dispatched[key] = order.server.name
+                self.ran.add((id(daemon), order.call_id))
+                key = (id(daemon), order.call_id, order.server.name)
+                self._dispatched.add(key)
                 self._schedule(
                     SERVER_NETWORK_SECONDS,
                     lambda key=key, name=order.server.name: self._start(key, name),
@@ -226,7 +228,9 @@
             elif isinstance(order, messages.RefuseCall):
                 self._count_refusal((id(daemon), order.call_id), order)
             elif isinstance(order, messages.Cancel):
-                self._cancel((id(daemon), order.call_id))
+                self._cancel((id(daemon), order.call_id, order.server))
+            elif isinstance(order, TickAt):
+                self._schedule(order.at - self.now, lambda: self._tick(daemon))
             elif isinstance(order, (RequestSlot, WithdrawSlot, GrantSlot, QueueSlot, DenySlot)):
                 self._send_datagram(daemon, order)
             elif isinstance(order, Probe):
@@ -235,17 +239,23 @@
                     lambda name=order.server.name: self._end_probe(daemon, name),
                 )
 
+    def _tick(self, daemon: StoreDaemon) -> None:
+        self._carry_out(daemon, daemon.run(messages.Ticked(now=self.now)))
+
     def _start(self, key: tuple, name: str) -> None:
         if key not in self._dispatched:
             return
         server = self._servers[name]
         self.queued_at_server += len(server.running) >= server.slots
-        tail = TAIL_FACTOR if self._random.random() < self.tail_share else 1.0
-        server.start(key, self.now, work=self.work * tail)
+        server.start(key, self.now, work=self.work * self._draw_tail(key))
+
+    def _draw_tail(self, _key: tuple) -> float:
+        return TAIL_FACTOR if self._random.random() < self.tail_share else 1.0
 
     def _end(self, key: tuple, server: NoisyServer) -> None:
-        if self._dispatched.pop(key, None) is None:
+        if key not in self._dispatched:
             return
+        self._dispatched.remove(key)
         daemon = next((each for each in self._daemons if id(each) == key[0]), None)
         if daemon is not None:
             self._carry_out(daemon, self._answer(daemon, key[1], server))
@@ -254,9 +264,9 @@
         return daemon.answer(call_id, server.name, load=server.report())
 
     def _cancel(self, key: tuple) -> None:
-        name = self._dispatched.pop(key, None)
-        if name is not None:
-            server = self._servers[name]
+        if key in self._dispatched:
+            self._dispatched.remove(key)
+            server = self._servers[key[2]]
             server.running.pop(key, None)
             if key in server.queue:
                 server.queue.remove(key)
