--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from behave import given, then, when
+from subjects.hedged_zone import HedgedZone
 from subjects.hedging import OWNER, HedgingDaemon
+from subjects.hedging_processes import DAEMONS, HedgingPlatform
 from subjects.hedging_schedules import run_schedules
 
+from dotterelgate_bench.fleet import wait_until
 from dotterelgate_core.slots import GrantSlot, RequestSlot
 
 REQUESTS = {
@@ -120,6 +123,64 @@
     assert all(each.requester is None for each in calls.values())
 
 
+@given("{daemons:d} daemons of a zone under {rate:d} requests a second, seed {seed:d}")
+def set_load(context, daemons, rate, seed):
+    context.load = {"daemons": daemons, "rate": lambda _: rate, "seed": seed, "seconds": 30.0}
+
+
+@when("they run without second attempts and with a share of {share:g}")
+def run_load(context, share):
+    context.without = HedgedZone(share=0.0, **context.load).run()
+    context.hedged = HedgedZone(share=share, **context.load).run()
+
+
+@then("the slowest hundredth of the answers is faster with them")
+def compare_slowest(context):
+    before, after = (each.find_percentile(0.99) for each in (context.without, context.hedged))
+    assert after < before, (after, before)
+
+
+@then("there are at most {share:g} second attempts for each request")
+def check_share(context, share):
+    started = context.hedged.counts["started"]
+    assert 0 < started <= share * context.hedged.first_attempts, started
+
+
+@given("{servers:d} backend servers and 2 daemons that start second attempts")
+def start_platform(context, servers):
+    context.hedging = HedgingPlatform(servers=servers)
+    context.cleanups.append(context.hedging.stop)
+    context.hedging.start()
+
+
+@given("{count:d} usual reads went through each")
+def send_usual(context, count):
+    context.hedging.send_usual(count)
+
+
+@when("reads go through each daemon until {server} has left one without an answer")
+def send_until_silent(context, server):
+    context.hedging.send_until_silent(server)
+
+
+@then("all of them were answered by a backend server")
+def check_answered(context):
+    assert set(context.hedging.statuses) == {200}, context.hedging.statuses
+
+
+@then("the connections without an answer are closed")
+def check_closed(context):
+    wait_until(context.hedging.are_closed, seconds=3, what="the connections are closed")
+
+
+@then("log lines and metrics show the second attempts that answered them")
+def check_shown(context):
+    wait_until(context.hedging.is_logged, seconds=3, what="the log lines are written")
+    for name in DAEMONS:
+        assert context.hedging.read_count(name, "started") >= 1
+        assert context.hedging.read_count(name, "won") >= 1
+
+
 @when("random schedules of slow reads and writes are run")
 def run_random_schedules(context):
     context.faults = run_schedules()
--- a/features/subjects/untrusted.py
+++ b/features/subjects/untrusted.py
@@ -115,7 +115,7 @@
         """Start the processes."""
         self.platform.start(servers=3)
         self.platform.publish(10, "/orders/", limits=LIMITS)
-        self.platform.start_daemon(DAEMON, more=SETTINGS)
+        self.platform.start_daemon(DAEMON, **SETTINGS)
         self.platform.wait_ready(DAEMON)
 
     def stop(self) -> None:
