--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -47,7 +47,7 @@
   Scenario Outline: The newest statement says whether a server is cold
     Given a daemon with a server of a service that limits cold servers to 5 a second for 60 s
     When it learns in this order about the cold: <statements>
-    Then the server is <state>
+    Then the started server is <state>
 
     Examples: entries, answers to probes, peers with the age of what they heard, heartbeats
       | statements                                     | state              |
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -246,7 +246,7 @@
 }
 
 
-@then("the server is {state}")
+@then("the started server is {state}")
 def check_state(context, state):
     left = context.daemon.state.servers.states["i-1"].cold_until - context.daemon.now
     expected = 0.0 if state == "warm" else float(state.split()[2])
