Subtract only the wait behind other requests from a caller's limit

The time in which a request's body arrives was subtracted too, so that a write which was complete too late in a planned stop got 504 in place of 503. The wait counts from the moment at which the request could have started alone, as it did for requests that nothing was ahead of.

Measured: in features/platform_path.feature 24 scenarios passed and 'A request that is complete too late in a planned stop is refused, not cut off' failed; it passes now, as do pipelining (31) and caller_connections (43).

--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -101,7 +101,6 @@
         request = IncomingRequest(
             head=head,
             unread_wait=self._unread_wait,
-            begun_at=time.monotonic(),
             response=CallerResponse(
                 method=head.method,
                 name=self._context.gateway.name,
@@ -123,14 +122,21 @@
             return
         arriving.body.add(part)
         if not arriving.is_started and self._is_ready(arriving):
+            self._note_ready(arriving)
             self._advance()
 
     def _end_body(self) -> None:
         arriving, self._arriving = self._arriving, None
         if arriving is not None:
             arriving.body.end()
+            self._note_ready(arriving)
         self._advance()
 
+    @staticmethod
+    def _note_ready(request: IncomingRequest) -> None:
+        if request.ready_at is None:
+            request.ready_at = time.monotonic()
+
     def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
         self._refusal = Refusal(code, reason)
         arriving = self._arriving
@@ -241,7 +247,6 @@
             if call is not None:
                 request.response.refuse(call)
             return
-        # The time for which it waited behind others, and for its body, is the caller's.
         call = request.reduce_timeout(call, time.monotonic())
         length = request.head.length
         if call.streamed:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
@@ -25,14 +25,14 @@
 class IncomingRequest:
     """A request that isn't answered yet, and may still be arriving.
 
-    :param begun_at: monotonic second at which its head arrived
+    :param ready_at: monotonic second at which it could have started alone
     :param is_continued: whether its caller was told to send the body
     """
 
     head: RequestHead
     response: CallerResponse
-    begun_at: float
     body: RequestBody = field(default_factory=RequestBody)
+    ready_at: float | None = None
     unread_wait: float = 0.0
     call: Call | Refusal | None = None
     pending: PendingCall | None = None
@@ -69,10 +69,10 @@
         )
 
     def reduce_timeout(self, call: Call, now: float) -> Call:
-        """Subtract the time that has passed since its head arrived from the caller's limit."""
-        if call.timeout is None:
+        """Subtract the time for which it waited behind others from the caller's limit."""
+        if call.timeout is None or self.ready_at is None:
             return call
-        return replace(call, timeout=max(0.0, call.timeout - (now - self.begun_at)))
+        return replace(call, timeout=max(0.0, call.timeout - (now - self.ready_at)))
 
     def list_headers(self, host: bytes) -> HeaderList:
         """List its headers as they are passed on.
