Notice callers that leave while their connection is not read

While 8 requests wait, or a body can't be passed on yet, reading pauses and the poller watched nothing: requests of a caller that had left went on to servers. A connection of a caller that is not read is watched for its end now.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -83,3 +83,9 @@
     Given a system of 1 daemons and 2 backend servers
     When 4 reads of 600 ms are sent at once on one connection
     Then their responses arrive in order, in less than the 2.4 s of one after the other
+
+  # Reading pauses while 8 requests wait, and the end of the connection was not noticed.
+  Scenario: Reads sent ahead are cancelled when their caller leaves a connection that is not read
+    Given a system of 1 daemons and 1 backend servers
+    When 12 reads of 1000 ms are sent at once on a connection that its caller then closes
+    Then only the 3 reads ran that had a slot
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 
 from behave import given, then, when
@@ -178,3 +179,22 @@
     for number, part in enumerate(parts):
         assert b'"id": "p%d"' % number in part, (number, part)
     assert context.seconds < limit, context.seconds
+
+
+@when(
+    "{count:d} reads of {milliseconds:d} ms are sent at once on a connection "
+    "that its caller then closes"
+)
+def send_and_close(context, count, milliseconds):
+    host, port = context.system.fleet.daemons["entry-1"].address.split(":")
+    request = f"GET /stock/1?ms={milliseconds} HTTP/1.1\r\nHost: a\r\n\r\n"
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(request.encode("ascii") * count)
+        context.system.wait_for_ran(3)
+    time.sleep(2 * milliseconds / 1000)
+
+
+@then("only the {count:d} reads ran that had a slot")
+def check_ran(context, count):
+    ran = context.system.list_ran()
+    assert len(ran) == count, ran
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/polling.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/polling.py
@@ -25,11 +25,14 @@
     """Functions to call for events on a descriptor.
 
     :param lost: called when the remote side has closed and nothing remains to be read
+    :param detects_close: whether ``lost`` is also called when the remote side closes while the
+        descriptor is not read, whatever remains
     """
 
     read: Callable[[], None]
     write: Callable[[], None]
     lost: Callable[[], None]
+    detects_close: bool = False
 
 
 class _Descriptors(set):
@@ -83,6 +86,9 @@
             mask |= select.EPOLLIN
         if fd in self._write:
             mask |= select.EPOLLOUT
+        watch = self._watches.get(fd)
+        if watch is not None and watch.detects_close and not mask & select.EPOLLIN:
+            mask |= select.EPOLLRDHUP
         before = self._masks.get(fileno, 0)
         if mask == before:
             return
@@ -118,7 +124,7 @@
             if fileno not in self._map:
                 self._masks.pop(fileno, None)
             return
-        if event & self._disconnected_flag and not event & select.EPOLLIN:
+        if event & (self._disconnected_flag | select.EPOLLRDHUP) and not event & select.EPOLLIN:
             watch.lost()
             return
         if event & select.EPOLLIN:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -283,7 +283,7 @@
         sock.setblocking(False)
         set_options(sock)
         stream = Stream(sock=sock, service=self, receive=receive, lost=lost)
-        self._watch(stream, writes=False)
+        self._watch(stream, writes=False, detects_close=True)
         return stream
 
     def open(
@@ -333,8 +333,10 @@
         """Read arriving bytes again."""
         self._poller.addReader(self, stream.sock)
 
-    def _watch(self, stream: Stream, *, writes: bool) -> None:
-        watch = Watch(read=stream.read, write=stream.flush, lost=stream.end)
+    def _watch(self, stream: Stream, *, writes: bool, detects_close: bool = False) -> None:
+        watch = Watch(
+            read=stream.read, write=stream.flush, lost=stream.end, detects_close=detects_close
+        )
         self._poller.watch(self, stream.sock, watch, writes=writes)
 
     def _accept(self, listener: socket.socket) -> None:
