Test how calls that wait for tokens end, repeats, and real daemons over a quota

Real daemons refuse with 429 and Retry-After what exceeds a quota of one request a second, count it as quota_exceeded, and none of it ran. The least Retry-After is 0.01 s, since the header has three decimals.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -57,3 +57,23 @@
   Scenario: Drawn schedules of six daemons
     When 40 drawn schedules are run, from seed 5
     Then both bounds hold in all of them
+
+  Scenario Outline: A call that waits for its token ends as any other
+    Given a call that waits for the answer of another daemon, whose quota has one token
+    When its <event> while it waits
+    Then it ends as <kind>, and asks no further lender
+
+    Examples: ends
+      | event             | kind        |
+      | caller leaves     | ReleaseCall |
+      | time limit passes | RefuseCall  |
+
+  Scenario: A repeat of a call costs nothing
+    Given a call with the only token of its quota, sent to one of two servers
+    When the server says that it did not run it
+    Then it is sent to the other server without a further token
+
+  Scenario: Real daemons refuse what exceeds a quota, and it has not run
+    Given the platform with 2 daemons and an organisation of 1 request a second and 1 at once
+    When it sends 80 requests to both daemons, and another one some
+    Then at most (1 x 5 + 1) x 1.1 + 20 ran in any 5 s, and the others got 429 and Retry-After
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import re
+from concurrent.futures import ThreadPoolExecutor
+
+import httpx
 from behave import given, then, when
 from hypothesis import given as given_drawn
 from hypothesis import seed as with_seed
@@ -9,6 +13,9 @@
 from hypothesis import strategies as st
 from subjects.quota_zones import QuotaZones, rank_organisations
 
+from dotterelgate_core import messages
+from dotterelgate_core.allowances.messages import BorrowTokens
+
 USUAL = 0.62
 EXCESS = 5.7
 TOTAL_PER_SECOND = 460
@@ -174,3 +181,113 @@
 @then("both bounds hold in all of them")
 def check_schedules(context):
     context.check()
+
+
+@given("a call that waits for the answer of another daemon, whose quota has one token")
+def make_waiting(context):
+    context.zones = QuotaZones(quotas={"one": (0.01, 1.0)}, load={}, daemons=2, zones=2)
+    context.zones.seconds = 1.0
+    context.zones.run()
+    context.name, context.daemon = next(
+        (name, each) for name, each in context.zones.running.items() if name.endswith("1")
+    )
+    # The own zone's token is used up, so the call asks the other zone's lender.
+    context.orders = [*context.zones.send("one", context.name)]
+    context.orders = [*context.zones.send("one", context.name)]
+    assert any(isinstance(each, BorrowTokens) for each in context.orders), context.orders
+
+
+@when("its {event} while it waits")
+def end_waiting(context, event):
+    daemon, now = context.daemon, context.zones.now
+    if event == "caller leaves":
+        call_id = daemon.next_id
+        orders = daemon.run(messages.CallerDisconnected(now=now, call_id=call_id))
+    else:
+        orders = daemon.run(messages.Ticked(now=now + 3.0))
+    context.orders = [*orders, *daemon.run(messages.Ticked(now=now + 3.1))]
+
+
+@then("it ends as {kind}, and asks no further lender")
+def check_ended(context, kind):
+    kinds = {type(each).__name__ for each in context.orders}
+    assert kind in kinds and "BorrowTokens" not in kinds, context.orders
+    assert not context.daemon.state.quotas.pending and not context.daemon.state.calls.states
+
+
+@given("a call with the only token of its quota, sent to one of two servers")
+def send_only(context):
+    context.zones = QuotaZones(quotas={"one": (0.01, 1.0)}, load={}, daemons=1, zones=1)
+    context.zones.seconds = 1.0
+    context.zones.run()
+    context.daemon = context.zones.running["front-0"]
+    context.daemon.state.quotas.lent.clear()
+    context.zones.add_server("front-0", "i-2")
+    context.orders = context.zones.send("one", "front-0")
+
+
+@when("the server says that it did not run it")
+def reject(context):
+    sent = next(each for each in context.orders if isinstance(each, messages.Dispatch))
+    call_id, server = sent.call_id, sent.server.name
+    context.orders = context.daemon.answer(call_id, server, status=503, ran=False)
+
+
+@then("it is sent to the other server without a further token")
+def check_repeated(context):
+    assert any(isinstance(each, messages.Dispatch) for each in context.orders), context.orders
+
+
+TENANTS = [
+    {"name": "one", "api-keys": ["key-one"], "rate-per-s": 1, "burst": 1},
+    {"name": "two", "api-keys": ["key-two"]},
+]
+SENT = 80
+OTHERS = 6
+SENDERS = 4
+
+
+@given("the platform with 2 daemons and an organisation of 1 request a second and 1 at once")
+def start(context):
+    context.execute_steps("Given the platform with 2 backend servers and no configuration")
+    context.platform.publish(10, "/orders/", tenants=TENANTS)
+    for name in ("front-1", "front-2"):
+        context.platform.start_daemon(name)
+    for name in ("front-1", "front-2"):
+        context.platform.wait_ready(name)
+
+
+@when("it sends 80 requests to both daemons, and another one some")
+def send_many(context):
+    def send(number):
+        key = "key-two" if number >= SENT else "key-one"
+        name = f"front-{1 + number % 2}"
+        return context.platform.request(name, "/orders/a", f"r-{number}", {"credential": key})
+
+    with ThreadPoolExecutor(SENDERS) as senders:
+        answers = list(senders.map(send, range(SENT + OTHERS)))
+    context.answers = answers[:SENT]
+    assert {each.status_code for each in answers[SENT:]} == {200}, answers[SENT:]
+
+
+@then("at most (1 x 5 + 1) x 1.1 + 20 ran in any 5 s, and the others got 429 and Retry-After")
+def check_answers(context):
+    servers = context.platform.read_arrivals().values()
+    ran = {name: at for arrivals in servers for name, at in arrivals}
+    for number, each in enumerate(context.answers):
+        assert (f"r-{number}" in ran) == (each.status_code == 200), (number, each)
+        if each.status_code == 200:
+            continue
+        assert each.status_code == 429, each
+        assert 0 < float(each.headers["retry-after"]) <= 5, each.headers
+    times = sorted(at for name, at in ran.items() if int(name.partition("-")[2]) < SENT)
+    most = max(sum(at <= each < at + 5 for each in times) for at in times)
+    assert most <= (1 * 5 + 1) * 1.1 + 20, f"{most} ran in 5 s"
+    metrics = [
+        httpx.get(f"http://{each['metrics']}/metrics", timeout=5).text
+        for each in context.platform.settings.values()
+    ]
+    counted = re.findall(
+        r'^dotterelgate_answers_total{result="quota_exceeded"} (\d+)', "\n".join(metrics), re.M
+    )
+    assert sum(map(int, counted)) == sum(each.status_code == 429 for each in context.answers)
--- a/features/subjects/quota_zones.py
+++ b/features/subjects/quota_zones.py
@@ -76,6 +76,7 @@
         names = [f"front-{n}" for n in range(self.daemons)]
         self.running = {name: self._build(name, names) for name in names}
         for name in names:
+            self.add_server(name, "i-1")
             self._greet(name)
         for name in names:
             self.at(self.random.uniform(0, HEARTBEAT_SECONDS), lambda n=name: self._beat(n, 0))
@@ -110,6 +111,7 @@
         """Start a daemon anew, with what it can learn now."""
         self._stopped.discard(name)
         self.running[name] = self._build(name, list(self.running))
+        self.add_server(name, "i-1")
         self._greet(name)
 
     def find_lender(self, organisation, zone=0):
@@ -177,8 +179,6 @@
         daemon.run_control(
             ConfigurationStored(now=self.now, configuration=configuration, source="a test")
         )
-        server = BackendServer(name="i-1", address="10.0.0.9:1", slots=10**6, connections=9)
-        daemon.state.servers.add_or_update("s", server)
         return daemon
 
     def _greet(self, name):
@@ -238,6 +238,10 @@
             if each not in self._stopped and zone in (None, self._find_zone(each))
         ]
         name = self.random.choice(names)
+        self._carry_out(name, self.send(organisation, name))
+
+    def send(self, organisation, name):
+        """Let a call arrive at a daemon; returns the orders."""
         daemon = self.running[name]
         daemon.next_id += 1
         self._calls[daemon.next_id] = (organisation, self.now)
@@ -249,8 +253,12 @@
             timeout=TIME_LIMIT_SECONDS,
             credential=organisation.encode(),
         )
-        arrived = messages.CallArrived(now=self.now, wall=self.now, call=call)
-        self._carry_out(name, daemon.run(arrived))
+        return daemon.run(messages.CallArrived(now=self.now, wall=self.now, call=call))
+
+    def add_server(self, name, server):
+        """Let a daemon know a backend server."""
+        added = BackendServer(name=server, address="10.0.0.9:1", slots=10**6, connections=9)
+        self.running[name].state.servers.add_or_update("s", added)
 
     def _carry_out(self, name, orders):
         for order in orders:
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/borrowing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/borrowing.py
@@ -46,6 +46,8 @@
 AVOIDED_SECONDS = 1.0
 # A lender that had no token is not asked again by this daemon for at most this long.
 EMPTY_SECONDS = 0.1
+# A caller that returns sooner finds the token under way.
+LEAST_RETRY_SECONDS = 0.01
 # A caller of a daemon that reaches no lender does better at another one.
 SAFE_RETRY_SECONDS = 0.5
 
@@ -151,7 +153,7 @@
         sentence = f"no lender answers, and the safe share of {organisation.name} is used up"
     call_state.queued = False
     returned = return_tokens(state, organisation.name, pending.collected, now)
-    retry_after = min(wait, state.limits.quota_window)
+    retry_after = max(LEAST_RETRY_SECONDS, min(wait, state.limits.quota_window))
     refusal = Refusal(codes.QUOTA_EXCEEDED, sentence, retry_after=retry_after)
     facts = {
         "organisation": organisation.name,
