--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -138,8 +138,8 @@
 def draw_schedule(drawn):
     """Build a run of six daemons from drawn events."""
     zones = QuotaZones(
-        quotas={"calm": (12.0, 6.0), "large": (30.0, 20.0)},
-        load={"calm": USUAL, "large": EXCESS * USUAL},
+        quotas={"calm": (12.0, 6.0), "large": (30.0, 20.0), "bursty": (4.0, 80.0)},
+        load={"calm": USUAL, "large": EXCESS * USUAL, "bursty": 10.0},
         daemons=6,
         zones=drawn["zones"],
         loss=drawn["loss"],
