Explain where a request would go now by a dry run of the same decisions

Cause: explain named the route and the servers, not the decision, and knew no credential.

Change: the daemon runs the request through the pipeline on a copy of its state; candidates have their expected times and why each is passed over.

--- /dev/null
+++ b/packages/dotterelgate-core/src/dotterelgate_core/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Explanations of where a request would go now, and why."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/assembly.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
@@ -96,7 +97,7 @@
         is_healthy=lambda: _is_healthy(base.state),
         render_metrics=base.metrics.render,
         describe=lambda: describe_daemon(base.state, parts.position, parts.incarnation),
-        explain=lambda method, host, path: explain_route(base.state, method, host, path),
+        explain=partial(explain_route, base.state, keyed=True),
     )
     serve_endpoint(base.streams, settings.endpoint, endpoint)
     _schedule(parts)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/endpoint.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/endpoint.py
@@ -18,6 +18,7 @@
 __all__ = ["Endpoint", "serve_endpoint"]
 
 IDENTITY_PATTERN = re.compile(r"[0-9a-f]{16}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{32}")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,14 +30,15 @@
     :param is_healthy: whether the platform's balancer should send callers here
     :param render_metrics: the metrics in the text format
     :param describe: the daemon's state as a JSON document
-    :param explain: how a request of a method, host and path would be routed
+    :param explain: what would become of a request with a method, host, path and digest of a
+        credential
     :param clear_suspect: clears the request of an identity, on all daemons
     """
 
     is_healthy: Callable[[], bool]
     render_metrics: Callable[[], bytes]
     describe: Callable[[], dict]
-    explain: Callable[[str, str, str], dict]
+    explain: Callable[[str, str, str, bytes], dict]
     clear_suspect: Callable[[int], None] = lambda identity: None
 
 
@@ -73,8 +75,13 @@
 
 def _answer_explanation(request: HttpRequest, endpoint: Endpoint) -> None:
     query = request.query
-    method, host = query.get("method", "GET"), query.get("host", "")
-    answer_json(request, endpoint.explain(method, host, query.get("path", "/")))
+    credential = query.get("credential", "")
+    if credential and DIGEST_PATTERN.fullmatch(credential) is None:
+        body = b"credential= must be the 32 hexadecimal digits of a digest, not the credential\n"
+        request.answer(HTTPStatus.BAD_REQUEST, body)
+        return
+    method, host, path = query.get("method", "GET"), query.get("host", ""), query.get("path", "/")
+    answer_json(request, endpoint.explain(method, host, path, bytes.fromhex(credential)))
 
 
 def _clear_suspect(request: HttpRequest, endpoint: Endpoint) -> None:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/explanation.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import time
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import owners, owning
+from dotterelgate_core.explaining.dry_run import run_dry
 from dotterelgate_core.messages import Call, format_identity
-from dotterelgate_core.routes import find_route
 
 if TYPE_CHECKING:
+    from dotterelgate_core.codes import Refusal
+    from dotterelgate_core.configuration import Organisation
+    from dotterelgate_core.explaining.dry_run import DryRun
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState, LogPosition
 
 __all__ = ["describe_common", "describe_daemon", "explain_route"]
 
+# No call of the daemon has this id.
+DRY_CALL_ID = -1
+
 
 def describe_daemon(state: DaemonState, position: LogPosition, incarnation: str) -> dict:
     """Describe a daemon as a JSON document for ``dotterelgate status``."""
@@ -70,25 +77,77 @@
     }
 
 
-def explain_route(state: DaemonState, method: str, host: str, path: str) -> dict:
-    """Explain where a request would go from this daemon and why."""
-    if state.configuration.current is None:
-        return {"result": "no configuration is in force"}
-    found = find_route(state.configuration, Call(id=0, method=method, host=host, path=path))
-    if found is None:
-        return {"result": "no route matches"}
-    service, route = found
+def explain_route(
+    state: DaemonState,
+    method: str,
+    host: str,
+    path: str,
+    credential: bytes = b"",
+    *,
+    keyed: bool = False,
+) -> dict:
+    """Explain where a request would go from this daemon now and why, without sending it.
+
+    :param credential: digest of the caller's credential, empty for none
+    :param keyed: as for the pipeline of requests
+    """
+    call = Call(id=DRY_CALL_ID, method=method, host=host, path=path, credential=credential)
     now = time.monotonic()
-    pool = state.servers.by_service.get(service.name, [])
+    run = run_dry(state, call, now=now, wall=time.time(), keyed=keyed)
+    document = {
+        "daemon": state.name,
+        "revision": state.configuration.revision,
+        "result": _name_result(run),
+        "server": run.server,
+        "refusal": _describe_refusal(run.refusal),
+    }
+    if run.call_state is None:
+        return document
+    routed = run.call_state.routed
+    service, route = routed.service, routed.route
     return {
-        "result": "routed",
+        **document,
         "service": service.name,
+        "route": route.name,
         "prefix": route.prefix,
         "idempotent": route.idempotent,
         "priority": route.priority.name.lower(),
         "policy": service.policy,
         "owner": _name_owner(state, service.name, now),
-        "servers": [_describe_server(each, now) for each in pool],
+        "organisation": _describe_organisation(run.call_state.organisation),
+        "candidates": [asdict(each) for each in run.candidates],
+    }
+
+
+def _name_result(run: DryRun) -> str:
+    if run.refusal is not None:
+        return "refused"
+    if run.peer:
+        return f"{run.peer} decides"
+    return "sent" if run.server else "waits"
+
+
+def _describe_refusal(refusal: Refusal | None) -> dict | None:
+    if refusal is None:
+        return None
+    code = refusal.code
+    return {
+        "code": code.number,
+        "name": code.name,
+        "status": code.status,
+        "reason": refusal.reason,
+        "retry_after": refusal.retry_after,
+    }
+
+
+def _describe_organisation(organisation: Organisation | None) -> dict | None:
+    if organisation is None:
+        return None
+    return {
+        "name": organisation.name,
+        "priority": organisation.priority,
+        "rate": organisation.rate,
+        "burst": organisation.burst,
     }
 
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -5,6 +5,7 @@
 import random
 import time
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
@@ -146,7 +147,7 @@
         is_healthy=lambda: _is_ready(base.state),
         render_metrics=base.metrics.render,
         describe=lambda: describe_common(base.state, incarnation),
-        explain=lambda method, host, path: explain_route(base.state, method, host, path),
+        explain=partial(explain_route, base.state),
         clear_suspect=lambda identity: base.gateway.run(
             SuspectCleared(now=time.monotonic(), identity=identity)
         ),
--- a/packages/dotterelgate-operator/src/dotterelgate_operator/command.py
+++ b/packages/dotterelgate-operator/src/dotterelgate_operator/command.py
@@ -17,6 +17,7 @@
 from dotterelgate_border.declarations import ConfigurationModel
 from dotterelgate_border.problems import InvalidDocumentError
 from dotterelgate_core.codes import RESULT_CODES
+from dotterelgate_operator.explaining import build_query, format_explanation
 from dotterelgate_operator.publishing import Publisher, Verdict
 
 __all__ = ["main"]
@@ -111,18 +112,26 @@
 
 @_command.command()
 def explain(
-    daemon: Annotated[str, typer.Option(help="Address of a daemon's endpoint, IP:port.")],
-    path: Annotated[str, typer.Argument(help="Path of the request.")],
-    method: Annotated[str, typer.Option(help="HTTP method.")] = "GET",
-    host: Annotated[str, typer.Option(help="Value of Host.")] = "",
+    method: Annotated[str, typer.Argument(help="HTTP method.")],
+    url: Annotated[str, typer.Argument(help="URL of the request, such as http://HOST/PATH.")],
+    at: Annotated[
+        str, typer.Option(help="Address of a daemon's endpoint, IP:port; else this VM's daemon.")
+    ] = "",
+    credential_file: Annotated[
+        Path | None, typer.Option(help="File with the caller's credential; only a digest is sent.")
+    ] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="Print the whole document.")] = False,
 ) -> None:
-    """Explain where a request would go from one daemon, and why."""
-    query = httpx.QueryParams(method=method, host=host, path=path)
-    document = _fetch(daemon, f"/explain?{query}")
+    """Explain where a request would go from one daemon now, and why, without sending it."""
+    try:
+        address, query = build_query(method, url, at, credential_file)
+    except (OSError, ValueError) as error:
+        _fail([str(error)])
+    document = _fetch(address, f"/explain?{query}")
     if document is None:
-        _report(f"{daemon}: cannot be reached; check that the daemon runs")
+        _report(f"{address}: cannot be reached; check that the daemon runs")
         sys.exit(EXIT_FAILED)
-    typer.echo(json.dumps(document, indent=2))
+    typer.echo(json.dumps(document, indent=2) if as_json else format_explanation(document))
 
 
 @_command.command()
