Restrict requests of routes and organisations to their home regions

Cause: a route or an organisation could not be kept within regions.

Change: homes of routes and organisations, regions of zones from the settings. The owner learns the organisation with a slot request; the daemon that has the call checks each grant. A restricted request without capacity at home is refused at once, so that it holds up no others.

--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -6,6 +6,7 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
+from dotterelgate_core.homes.restricting import is_at_home, is_restricted
 from dotterelgate_core.limiting import compute_allowance_wait, count_usable_slots
 from dotterelgate_core.limits import UNLIMITED
 from dotterelgate_core.messages import CallRouted, CallSettled, Decision, SlotFreed, Ticked
@@ -78,6 +79,8 @@
     service = routed.service
     policy = policies[service.policy]
     pool = state.servers.by_service.get(service.name, [])
+    if is_restricted(call_state):
+        pool = [each for each in pool if is_at_home(state, call_state, each)]
     requester = call_state.requester
     eligible = [each for each in pool if each.is_eligible(routed.now, requester)]
     if not eligible:
--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -8,6 +8,7 @@
 from dotterelgate_core import codes
 from dotterelgate_core.admission import mark_admitted
 from dotterelgate_core.binding import dispatch_call
+from dotterelgate_core.homes.restricting import is_at_home
 from dotterelgate_core.messages import CallRouted, CallSettled, Decision, Ticked
 from dotterelgate_core.owners import find_owner
 from dotterelgate_core.slots import (
@@ -110,7 +111,8 @@
     if call_state.failed_owners >= OWNERS_LIMIT:
         return [routed]
     pool = state.servers.by_service.get(service.name, [])
-    if not any(each.is_eligible(routed.now) for each in pool):
+    usable = (each for each in pool if each.is_eligible(routed.now))
+    if not any(is_at_home(state, call_state, each) for each in usable):
         return [routed]
     if not call_state.admitted:
         mark_admitted(state, call_state)
@@ -131,6 +133,7 @@
         remaining=max(0.0, routed.deadline - now),
         attempt=call_state.attempts,
         avoided=tuple(sorted(call_state.avoided)),
+        organisation=call_state.organisation.name if call_state.organisation else "",
     )
     return RequestSlot(owner=owner, request=request)
 
@@ -144,7 +147,8 @@
         state.servers.changed.add(name)
         return []
     server = state.servers.states.get(name)
-    if server is None or not server.is_eligible(granted.now):
+    is_usable = server is not None and server.is_eligible(granted.now)
+    if server is None or not is_usable or not is_at_home(state, call_state, server):
         state.servers.changed.add(name)
         return _request_another(state, asking, pending, call_state, name, granted.now)
     del asking.requests[granted.call_id]
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -4,9 +4,19 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelgate_core import codes
+from dotterelgate_core.codes import Refusal
 from dotterelgate_core.evacuations.returning import select_in_step
+from dotterelgate_core.homes.restricting import is_at_home, is_restricted
 from dotterelgate_core.limiting import has_allowance, use_allowance
-from dotterelgate_core.messages import Decision, Dispatch, SlotFreed, format_identity
+from dotterelgate_core.messages import (
+    CallSettled,
+    Decision,
+    Dispatch,
+    SlotFreed,
+    format_identity,
+)
+from dotterelgate_core.retry_after import choose_retry_after
 from dotterelgate_core.slots import GrantSlot, SlotGrant
 
 if TYPE_CHECKING:
@@ -61,10 +71,14 @@
         return []
     call_state = _choose_call(state, subqueue, freed.now)
     policy = policies[call_state.routed.service.policy]
-    allowed = [each for each in pool if has_allowance(state, each, freed.now)]
+    allowed = [
+        each
+        for each in pool
+        if is_at_home(state, call_state, each) and has_allowance(state, each, freed.now)
+    ]
     candidates = _select_candidates(allowed, call_state, freed.now, late=policy.late)
     if not candidates:
-        return []
+        return _refuse_restricted(subqueue, call_state, freed.now)
     chosen = policy.choose(candidates, call_state, freed.now)
     if chosen is None:
         return []
@@ -77,6 +91,24 @@
     return dispatch_call(state, call_state, chosen, freed.now, _list_report(chosen, freed.now))
 
 
+def _refuse_restricted(subqueue: deque[int], call_state: CallState, now: float) -> list[Message]:
+    """Refuse a call whose home regions have no capacity, so that others need not wait for it."""
+    if not is_restricted(call_state):
+        return []
+    subqueue.remove(call_state.call.id)
+    call_state.queued = False
+    reason = "no slot is free in the home regions of its route and organisation"
+    refusal = Refusal(codes.OVERLOADED, reason, retry_after=choose_retry_after(call_state, now))
+    decision = Decision(
+        part="binding",
+        sentence=reason,
+        call_id=call_state.call.id,
+        service=call_state.routed.service.name,
+    )
+    settled = CallSettled(now=now, call_id=call_state.call.id, refusal=refusal, ran=False)
+    return [decision, settled]
+
+
 def _find_subqueue(
     state: DaemonState, queue: ServiceQueue, pool: list[ServerState], service: str
 ) -> deque[int] | None:
--- a/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/configuration.py
@@ -81,6 +81,7 @@
     :param is_bulk: whether its answers are large
     :param is_exempt: whether callers need no credential
     :param problem: why it is out of service, empty for a route that is in service
+    :param homes: regions to which its requests are restricted, empty for none
     """
 
     prefix: str
@@ -97,6 +98,7 @@
     is_bulk: bool = False
     is_exempt: bool = False
     problem: str = ""
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -144,6 +146,7 @@
     :param rate: requests a second that it may send through all daemons, 0 for no limit
     :param burst: requests that it may send at once beside that rate
     :param problem: why it is out of service, empty for one that is in service
+    :param homes: regions to which its requests are restricted, empty for none
     """
 
     name: str
@@ -152,6 +155,7 @@
     rate: float = 0.0
     burst: float = 0.0
     problem: str = ""
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -232,6 +236,7 @@
     organisations: dict[bytes, Organisation] | None = None
     routes: RouteIndex = field(default_factory=RouteIndex)
     _services: dict[str, Service] = field(default_factory=dict)
+    _named: dict[str, Organisation] = field(default_factory=dict)
 
     def read_publication(self, link: Link) -> bool:
         """Apply a publication in log order.
@@ -261,6 +266,10 @@
         """Revision of the configuration in force, 0 for none."""
         return self.current.revision if self.current is not None else 0
 
+    def find_organisation(self, name: str) -> Organisation | None:
+        """Find an organisation of the configuration in force."""
+        return self._named.get(name)
+
     def find_service(self, name: str) -> Service | None:
         """Find a service of the configuration in force."""
         return self._services.get(name)
@@ -278,6 +287,7 @@
         self._services = {service.name: service for service in configuration.services}
         self.routes = RouteIndex.build(configuration.services)
         self.organisations = _index_organisations(configuration.organisations)
+        self._named = {each.name: each for each in configuration.organisations or ()}
         return True
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
@@ -7,6 +7,7 @@
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.evacuations.applying import ServersEvacuated
+from dotterelgate_core.homes.restricting import is_at_home
 from dotterelgate_core.messages import CallRouted, CallSettled, Decision
 from dotterelgate_core.retry_after import choose_ranked_retry_after
 
@@ -47,6 +48,7 @@
 
 def _is_without_server(state: DaemonState, call_state: CallState, now: float) -> bool:
     pool = state.servers.by_service.get(call_state.routed.service.name, [])
+    pool = [each for each in pool if is_at_home(state, call_state, each)]
     if not any(each.is_evacuated for each in pool):
         return False
     requester = call_state.requester
--- a/packages/dotterelgate-core/src/dotterelgate_core/explaining/candidates.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/explaining/candidates.py
@@ -11,6 +11,7 @@
     compute_usual_slowdown,
     estimate_time_factor,
 )
+from dotterelgate_core.homes.restricting import is_at_home
 from dotterelgate_core.limiting import has_allowance
 from dotterelgate_core.warm_up.coldness import is_limited_cold
 
@@ -60,12 +61,24 @@
                 slots=server.server.slots,
                 expected_seconds=seconds,
                 cost=seconds * compute_penalty_factor(server, now, zone=state.zone),
-                obstacles=_list_obstacles(state, server, now, in_step),
+                obstacles=(
+                    *_list_restrictions(state, call_state, server),
+                    *_list_obstacles(state, server, now, in_step),
+                ),
             )
         )
     return sorted(candidates, key=lambda each: (bool(each.obstacles), each.cost))
 
 
+def _list_restrictions(
+    state: DaemonState, call_state: CallState, server: ServerState
+) -> tuple[str, ...]:
+    if is_at_home(state, call_state, server):
+        return ()
+    region = state.regions.get(server.server.zone, "unknown")
+    return (f"its region {region} is no home of the route and the organisation",)
+
+
 def _list_obstacles(
     state: DaemonState, server: ServerState, now: float, in_step: list[str]
 ) -> tuple[str, ...]:
--- a/packages/dotterelgate-core/src/dotterelgate_core/granting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -118,6 +118,7 @@
     call_state.work = request.work
     call_state.attempts = request.attempt
     call_state.avoided = set(request.avoided)
+    call_state.organisation = state.configuration.find_organisation(request.organisation)
     state.times.routed_at[request.service] = requested.now
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/state.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/state.py
@@ -62,12 +62,14 @@
     :param zone_daemons: number of live daemons in this zone, this one included
     :param stop: the graceful stop, once it began
     :param live_zones: number of zones with live daemons, this one included
+    :param regions: region of each availability zone, by the settings
     """
 
     name: str
     zone: str = ""
     zone_daemons: int = 1
     live_zones: int = 1
+    regions: dict[str, str] = field(default_factory=dict)
     limits: Limits
     peers: PeerTable
     leases: LeaseTable
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -131,6 +131,7 @@
     return DaemonState(
         name=settings.name,
         zone=settings.zone,
+        regions=settings.zones,
         limits=Limits(),
         peers=PeerTable(name=settings.name),
         # Requests carry no keys here and queues have no owners, so nothing is leased.
