--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/holding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/holding.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from dotterelgate_core.allowances.lenders import accept_returned, find_organisation, list_lenders
+from dotterelgate_core.allowances.lenders import accept_returned, list_lenders
 from dotterelgate_core.allowances.messages import ReturnTokens
 from dotterelgate_core.allowances.table import HeldTokens
 
@@ -62,7 +62,7 @@
 
 def return_tokens(state: DaemonState, organisation: str, count: float, now: float) -> list[Message]:
     """Return tokens to the first lender that is not passed over."""
-    found = find_organisation(state, organisation)
+    found = state.configuration.find_organisation(organisation)
     lender = next(iter(list_lenders(state, organisation, now)), None) if count > 0 else None
     if found is None or lender is None:
         return []
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
@@ -16,7 +16,6 @@
 
 __all__ = [
     "accept_returned",
-    "find_organisation",
     "lend_tokens",
     "list_lenders",
     "refresh_view",
@@ -43,13 +42,6 @@
 SAFE_SECONDS = 1.0
 
 
-def find_organisation(state: DaemonState, name: str) -> Organisation | None:
-    """Find an organisation of the configuration in force."""
-    current = state.configuration.current
-    organisations = current.organisations if current is not None else None
-    return next((each for each in organisations or () if each.name == name), None)
-
-
 def list_lenders(state: DaemonState, organisation: str, now: float) -> list[str]:
     """List the lender of each zone, that of the own zone first, without unresponsive ones."""
     zones = {peer.zone for peer in state.peers.listed.values()} - {state.zone}
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
@@ -6,7 +6,6 @@
 
 from dotterelgate_core.allowances.lenders import (
     accept_returned,
-    find_organisation,
     lend_tokens,
     refresh_view,
 )
@@ -38,7 +37,7 @@
 
 
 def _answer(state: DaemonState, requested: TokensRequested) -> LendTokens:
-    organisation = find_organisation(state, requested.organisation)
+    organisation = state.configuration.find_organisation(requested.organisation)
     lent = None
     if organisation is not None and organisation.rate and not organisation.problem:
         lent = lend_tokens(state, organisation, requested.count, requested.now)
@@ -52,7 +51,7 @@
 
 
 def _accept(state: DaemonState, returned: TokensReturned) -> list[Message]:
-    organisation = find_organisation(state, returned.organisation)
+    organisation = state.configuration.find_organisation(returned.organisation)
     if organisation is not None:
         accept_returned(state, organisation, returned.count, returned.now)
     return []
--- a/packages/dotterelgate-core/src/dotterelgate_core/granting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/granting.py
@@ -102,7 +102,7 @@
         return [QueueSlot(requester=requested.requester, call_id=request.call_id)]
     routed = route_request(state, requested)
     if isinstance(routed, CallRouted):
-        call_state = build_call_state(requested, routed)
+        call_state = build_call_state(state, requested, routed)
         state.calls.add_state(call_state)
         state.times.routed_at[request.service] = requested.now
     return [routed]
@@ -127,7 +127,7 @@
     )
 
 
-def build_call_state(requested: SlotRequested, routed: CallRouted) -> CallState:
+def build_call_state(state: DaemonState, requested: SlotRequested, routed: CallRouted) -> CallState:
     """Build the state of a call of another daemon."""
     request = requested.request
     return CallState(
@@ -137,6 +137,7 @@
         work=request.work,
         attempts=request.attempt,
         avoided=set(request.avoided),
+        organisation=state.configuration.find_organisation(request.organisation),
         organisation_name=request.organisation,
         organisation_priority=Priority.clamp(request.organisation_priority),
     )
--- a/packages/dotterelgate-core/src/dotterelgate_core/hedging/choosing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/hedging/choosing.py
@@ -6,7 +6,8 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.limiting import has_allowance
+from dotterelgate_core.homes.restricting import is_at_home
+from dotterelgate_core.limiting import has_allowance, use_allowance
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -50,13 +51,14 @@
         for each in warm
         if each.server.name not in tried
         and each.count_free() > 0
+        and is_at_home(state, call_state, each)
         and has_allowance(state, each, now)
     ]
     chosen = policies[service.policy].choose(candidates, call_state, now) if candidates else None
     if chosen is None:
         return _refuse(f"no other backend server of {service.name} is free and fast enough")
     chosen.chosen_at = now
-    chosen.limit.use()
+    use_allowance(chosen, now)
     return chosen
 
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/hedging/owning.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/hedging/owning.py
@@ -28,7 +28,7 @@
     routed = route_request(state, requested)
     if isinstance(routed, DenySlot):
         return [routed]
-    call_state = build_call_state(requested, routed)
+    call_state = build_call_state(state, requested, routed)
     chosen = choose_free_server(state, policies, call_state, requested.now)
     if isinstance(chosen, Refusal):
         call_id = requested.request.call_id
