Bound what callers make the daemon hold

Header lines cost up to 25 times their bytes, a head was checked only after 64 kB had been parsed, bodies below the limit of kept ones waited for ever, and answers to pipelined requests piled up in front of a client that read none.

The package intake decides (plain functions) and keeps the account (state): heads, bodies, answers and unsent bytes of all callers count in one account, sized from the VM's memory. Where it is short, those that hold much are not read from, and those that make no progress are refused (408, 503) or closed, the oldest and largest first. Heads are parsed in slices of 4 kB and bounded in bytes, lines, empty lines and time; chunk framing is bounded; small chunks of one read are passed on together. Slow clients are closed below the rate that the slowest link leaves to each. Accepting pauses, and idle connections are replaced, below the limit of descriptors. A connection whose answers are not read starts no further request.

RequestReader has a module of its own. Nothing changes for callers within the limits.

--- a/features/steps/deadly_steps.py
+++ b/features/steps/deadly_steps.py
@@ -16,8 +16,8 @@
 from dotterelgate_bench.fleet import wait_until
 from dotterelgate_core import codes, messages
 from dotterelgate_core.suspects import ServerRun
-from dotterelgate_daemon.codec import RequestReader
 from dotterelgate_daemon.identities import compute_identity
+from dotterelgate_daemon.request_reader import RequestReader
 
 NAMES = ("front-1", "front-2", "front-3")
 PATH = "/orders/x?deadly=1"
--- a/features/subjects/broken_answers.py
+++ b/features/subjects/broken_answers.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field, replace
 
 from dotterelgate_core.codes import Refusal
-from dotterelgate_daemon.codec import RequestReader
 from dotterelgate_daemon.dialect import DIALECT
 from dotterelgate_daemon.exchanges import Exchange
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.platform import PlatformClient
 from dotterelgate_daemon.pools import PoolTable
+from dotterelgate_daemon.request_reader import RequestReader
 from dotterelgate_daemon.timers import TimerService
 from subjects.exchange import FakeStreams
 
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -29,7 +29,7 @@
     def __init__(self, *, receive, lost):
         super().__init__(receive=receive, lost=lost)
         self.written = bytearray()
-        self.is_paused = False
+        self.closed = lambda: None
         self.closes_when_sent = False
         self.sock = SimpleNamespace(getpeername=lambda: ("127.0.0.1", 1))
 
@@ -47,6 +47,17 @@
         """Read again."""
         self.is_paused = False
 
+    def close(self):
+        """Close the stream, and notify."""
+        if self.is_open:
+            super().close()
+            self.closed()
+
+    def reset(self):
+        """Reset the stream, as the other side would."""
+        self.close()
+        self.lost()
+
     def close_when_sent(self):
         """Close; everything is sent at once."""
         self.closes_when_sent = True
--- a/features/subjects/exchange.py
+++ b/features/subjects/exchange.py
@@ -74,6 +74,8 @@
         self.lost = lost
         self.is_open = True
         self.is_full = False
+        self.is_paused = False
+        self.held_bytes = 0
         self.received_eof = False
         self.was_refused = False
         self.drained = None
--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -56,11 +56,19 @@
     connection_idle: Annotated[float, _bound(0.1, 3600)] = 30.0
     caller_connections: Annotated[int, _bound(1, 60_000)] = 2000
     memory_limit: Annotated[
-        int, _bound(100_000_000, 1_099_511_627_776, "bytes of memory that the VM has")
+        float, _bound(100_000_000, 1_099_511_627_776, "bytes of memory that the VM has")
     ] = 200_000_000
     descriptor_limit: Annotated[
         int, _bound(500, 1_048_576, "descriptors that the process may have open")
     ] = 4100
+    caller_link_rate: Annotated[
+        float, _bound(0, 1e10, "bytes a second of the slowest link that a VM's callers share")
+    ] = 625_000
+    head_line_limit: Annotated[int, _bound(16, 1_048_576, "header lines of a request")] = 4096
+    empty_line_limit: Annotated[int, _bound(0, 1_048_576, "empty lines before a request")] = 1000
+    unfinished_body_limit: Annotated[
+        int, _bound(1, 60_000, "incomplete bodies of one address while memory is short")
+    ] = 64
 
 
 class DaemonSettings(CommonSettings, frozen=True, kw_only=True):
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -99,6 +99,9 @@
 OUT_OF_SERVICE = ResultCode(
     114, "out_of_service", 503, _NOT_RUN, "The configuration of its route cannot be used."
 )
+REQUEST_TIMEOUT = ResultCode(
+    115, "request_timeout", 408, _NOT_RUN, "The request did not arrive fast enough."
+)
 DEADLINE_PASSED = ResultCode(
     200, "deadline_passed", 504, _NOT_RUN, "The time limit passed before dispatch."
 )
@@ -120,6 +123,9 @@
 ENDS_SERVERS = ResultCode(
     206, "ends_servers", 503, _NOT_RUN, "Backend servers ended while they had this request."
 )
+MEMORY_SHORT = ResultCode(
+    208, "memory_short", 503, _NOT_RUN, "The daemon has no memory for requests that wait."
+)
 NO_HOLDER = ResultCode(
     300, "no_holder", 503, _ATTEMPT, "No daemon holds the key's range at the moment."
 )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -7,29 +7,36 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.messages import Call
 from dotterelgate_daemon.codec import (
     CONTINUE,
     LAST_CHUNK,
-    RequestReader,
     encode_answer_head,
     encode_chunk,
     find_header,
 )
 from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
+from dotterelgate_daemon.intake.holdings import Holding, find_awaited, measure_call
+from dotterelgate_daemon.intake.supervision import Intake, IntakeLimits
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import Reply
 from dotterelgate_daemon.request_bodies import RequestBody
+from dotterelgate_daemon.request_reader import RequestReader
 from dotterelgate_daemon.targets import read_path
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from dotterelgate_core.codes import ResultCode
-    from dotterelgate_daemon.codec import HeaderList, RequestHead
+    from dotterelgate_core.configuration import CallerLimits
+    from dotterelgate_daemon.codec import HeaderList
     from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.intake.heads import HeadLimits
     from dotterelgate_daemon.replies import AnswerStart, StoredAnswer
+    from dotterelgate_daemon.request_reader import RequestHead
     from dotterelgate_daemon.streams import StreamService
     from dotterelgate_daemon.timers import PauseDetector
 
@@ -50,6 +57,10 @@
     :param pause_detector: measures how long a request may have waited unread
     :param is_stopping: whether connections close after the answer in progress
     :param connections: the open connections
+    :param limits: limits on what all callers make the daemon hold
+    :param find_caller_limits: returns the limits of the configuration in force
+    :param count_closed: counts a caller that was refused or closed for a limit, by reason
+    :param count_pause: counts a pause of reading or accepting, by reason
     """
 
     streams: StreamService
@@ -59,6 +70,25 @@
     pause_detector: PauseDetector
     is_stopping: bool = False
     connections: set[CallerConnection] = field(default_factory=set)
+    limits: IntakeLimits = field(default_factory=IntakeLimits)
+    find_caller_limits: Callable[[], CallerLimits | None] = lambda: None
+    count_closed: Callable[[str], None] = lambda reason: None
+    count_pause: Callable[[str], None] = lambda reason: None
+
+    def __post_init__(self) -> None:
+        """Build the supervision of the connections."""
+        self.intake = Intake(
+            limits=self.limits,
+            clients=lambda: self.connections,
+            count_closed=self.count_closed,
+            count_pause=self.count_pause,
+        )
+
+    def find_head_limits(self) -> HeadLimits:
+        """Return the limits on heads: those of the configuration, or else of the settings."""
+        limits = self.find_caller_limits()
+        size = limits.head_bytes if limits is not None else self.head_limit
+        return self.intake.make_head_limits(size)
 
 
 @dataclass(kw_only=True)
@@ -80,6 +110,8 @@
             sock=sock, receive=self._receive, lost=self._note_disconnect
         )
         self._stream.drained = self._resume_answer
+        self._stream.decide_reading = lambda: context.intake.decide_reading(self)
+        self._stream.closed = self._free
         self._waiting: deque[_IncomingRequest] = deque()
         self._arriving: _IncomingRequest | None = None
         self._current: _IncomingRequest | None = None
@@ -87,12 +119,22 @@
         self._chunked = False
         self._unread_wait = 0.0
         self.idle_since = time.monotonic()
+        self._is_closing = False
+        self.address = self._find_address()
+        self.holding = Holding(
+            address=self.address,
+            opened_at=self.idle_since,
+            awaited_since=self.idle_since,
+            progressed_at=self.idle_since,
+        )
         self._reader = RequestReader(
             head_limit=context.head_limit,
             begin=self._begin,
             body=self._receive_body,
             end=self._end_body,
             refuse=self._refuse_invalid,
+            find_limits=context.find_head_limits,
+            is_blocked=self._is_blocked,
         )
 
     def close_if_idle(self) -> None:
@@ -100,29 +142,98 @@
         if time.monotonic() - self.idle_since < TRANSIT_SECONDS:
             return
         if self._current is None and self._arriving is None:
-            self._stream.close_when_sent()
-            self._context.connections.discard(self)
+            self._close()
+
+    def give_up(self, refusal: Refusal) -> None:
+        """Refuse its request, or close the connection where the request may have run."""
+        has_request = self._reader.is_in_head or self._arriving is not None
+        is_answering = self._current is not None or self._stream.held_bytes > 0
+        if has_request and not is_answering and not self._is_closing:
+            self._reader.discard()
+            self._refuse_arriving(refusal)
+        else:
+            self._stream.close()
+            self._note_disconnect()
+
+    def update_holding(self) -> None:
+        """Measure what the connection holds, and what the client has acknowledged."""
+        self.holding.note_acknowledged(self._stream.measure_acknowledged(), time.monotonic())
+        self._note_held()
+
+    def resume_reading(self) -> None:
+        """Parse what stayed unparsed, and read again."""
+        self._reader.resume()
+        self._stream.resume()
+        self._pause_if_full()
+        self._note_held()
+
+    def _note_held(self) -> None:
+        """Note what the connection holds and what it waits for, in the account of all."""
+        if not self._stream.is_open:
+            return
+        held = self._reader.held_bytes + self._stream.held_bytes
+        for each in self._waiting:
+            held += each.head.cost + each.body.held_bytes
+        current = self._current
+        if current is not None:
+            held += current.head.cost + current.body.held_bytes + measure_call(current.pending)
+        account = self._context.intake.account
+        account.update(self.holding, held)
+        account.note_body(self.holding, has_body=self._arriving is not None)
+        awaited = find_awaited(
+            has_unsent=self._stream.held_bytes > 0,
+            is_closing=self._is_closing,
+            has_body=self._arriving is not None,
+            is_paused=self._stream.is_paused,
+            is_in_head=self._reader.is_in_head,
+            has_request=self._current is not None,
+        )
+        if awaited is not self.holding.awaited:
+            self.holding.note_awaited(awaited, time.monotonic())
+
+    def _close(self) -> None:
+        self._is_closing = True
+        self._stream.close_when_sent()
+        self._note_held()
+
+    def _free(self) -> None:
+        """Free what the connection holds, since it has ended."""
+        self._context.connections.discard(self)
+        for each in self._waiting:
+            each.body.discard()
+        self._waiting.clear()
+        self._arriving = None
+        self._reader.discard()
+        self._context.intake.release(self.holding)
 
     def _receive(self, data: bytes) -> None:
+        if self._is_closing:
+            return
         self._unread_wait = self._context.pause_detector.measure()
+        self.holding.note_received(len(data), time.monotonic())
         self._reader.feed(data)
         self._pause_if_full()
+        self._note_held()
 
     def _note_disconnect(self) -> None:
-        self._context.connections.discard(self)
         current, self._current = self._current, None
-        for each in self._waiting:
-            each.body.discard()
-        self._waiting.clear()
         if current is not None and current.pending is not None:
             self._context.gateway.note_disconnect(current.pending.call.id)
 
     def _begin(self, head: RequestHead) -> None:
+        refusal = self._refuse_body(head)
+        if refusal is not None:
+            self._reader.discard()
+            self._refuse_arriving(refusal)
+            return
         self._arriving = _IncomingRequest(head=head, unread_wait=self._unread_wait)
         self._waiting.append(self._arriving)
         if head.expects_continue and len(self._waiting) == 1 and self._current is None:
             self._stream.write(CONTINUE)
 
+    def _refuse_body(self, head: RequestHead) -> Refusal | None:
+        return self._context.intake.refuse_body(self.holding) if head.length != 0 else None
+
     def _receive_body(self, part: bytes) -> None:
         arriving = self._arriving
         assert arriving is not None
@@ -137,7 +248,12 @@
         self._start_next()
 
     def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
-        self._refusal = Refusal(code, reason)
+        if code is codes.HEAD_TOO_LARGE:
+            self._context.intake.note_closed("head")
+        self._refuse_arriving(Refusal(code, reason))
+
+    def _refuse_arriving(self, refusal: Refusal) -> None:
+        self._refusal = refusal
         arriving = self._arriving
         if arriving is not None and arriving.pending is not None:
             self._stream.close()
@@ -145,10 +261,11 @@
             return
         if arriving is not None and arriving in self._waiting:
             self._waiting.remove(arriving)
+        self._arriving = None
         self._start_next()
 
     def _start_next(self) -> None:
-        if self._current is not None:
+        if self._current is not None or self._stream.is_full or self._is_closing:
             return
         if not self._waiting:
             self._answer_refusal()
@@ -164,9 +281,9 @@
     def _answer_refusal(self) -> None:
         if self._refusal is None:
             return
-        self._write_refusal(self._refusal, keep_alive=False, method="")
-        self._stream.close_when_sent()
-        self._context.connections.discard(self)
+        refusal, self._refusal = self._refusal, None
+        self._write_refusal(refusal, keep_alive=False, method="")
+        self._close()
 
     def _submit(self, incoming: _IncomingRequest, *, streamed: bool) -> None:
         call = self._build_call(incoming, streamed=streamed)
@@ -186,7 +303,8 @@
             length=length,
             reply=self._make_reply(),
             arrived=time.monotonic(),
-            resume_caller=self._stream.resume,
+            resume_caller=self.resume_reading,
+            note_held=self._note_held,
         )
         self._context.gateway.admit(incoming.pending)
 
@@ -213,11 +331,14 @@
             credential=terms.credential,
         )
 
-    def _list_headers(self, head: RequestHead) -> HeaderList:
+    def _find_address(self) -> str:
         try:
-            host = self._stream.sock.getpeername()[0].encode("ascii")
+            return self._stream.sock.getpeername()[0]
         except OSError:
-            host = b"unknown"
+            return "unknown"
+
+    def _list_headers(self, head: RequestHead) -> HeaderList:
+        host = self.address.encode("ascii")
         return [*head.headers, (b"x-forwarded-for", host), (b"via", b"1.1 dotterelgate")]
 
     def _make_reply(self) -> Reply:
@@ -264,6 +385,7 @@
 
     def _send_part(self, part: bytes) -> None:
         self._stream.write(encode_chunk(part) if self._chunked else part)
+        self._note_held()
 
     def _end_answer(self) -> None:
         if self._chunked:
@@ -274,7 +396,6 @@
         # In HTTP, closing before the declared end marks an incomplete answer.
         self._current = None
         self._stream.close()
-        self._context.connections.discard(self)
 
     def _refuse(self, refusal: Refusal) -> None:
         if self._current is None:
@@ -301,25 +422,32 @@
         self._current = None
         self.idle_since = time.monotonic()
         if not keep_alive:
-            self._stream.close_when_sent()
-            self._context.connections.discard(self)
+            self._close()
             return
-        self._stream.resume()
         self._start_next()
+        self.resume_reading()
 
-    def _pause_if_full(self) -> None:
+    def _is_blocked(self) -> bool:
+        """Return whether later requests have to wait for those before them."""
         if len(self._waiting) >= MAX_PIPELINED_REQUESTS:
-            self._stream.pause()
+            return True
         arriving = self._arriving
-        if arriving is None or not self._stream.is_open:
+        if arriving is None or arriving.pending is not None or self._current is None:
+            return False
+        return arriving.body.held_bytes > self._context.body_limit
+
+    def _pause_if_full(self) -> None:
+        arriving = self._arriving
+        if not self._stream.is_open:
             return
-        if arriving.pending is None:
-            full = self._current is not None and arriving.body.held_bytes > self._context.body_limit
-        else:
-            full = self._context.gateway.is_body_full(arriving.pending)
+        full = self._is_blocked()
+        if arriving is not None and arriving.pending is not None:
+            full = full or self._context.gateway.is_body_full(arriving.pending)
         if full:
             self._stream.pause()
 
     def _resume_answer(self) -> None:
+        self._start_next()
+        self._note_held()
         if self._current is not None and self._current.pending is not None:
             self._context.gateway.resume_answer(self._current.pending.call.id)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -8,8 +8,12 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
+    from dotterelgate_core.configuration import CallerLimits
     from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.intake.supervision import IntakeLimits
+    from dotterelgate_daemon.metrics import Metrics
     from dotterelgate_daemon.streams import StreamService
     from dotterelgate_daemon.timers import PauseDetector
 
@@ -21,8 +25,10 @@
 
     :param head_limit: largest request head, in bytes
     :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
-    :param connection_limit: largest number of open connections
     :param pause_detector: measures how long a request may have waited unread
+    :param limits: limits on what callers make the daemon hold
+    :param find_caller_limits: returns the limits of the configuration in force
+    :param metrics: counts callers that were refused or closed for a limit
     """
 
     def __init__(
@@ -32,8 +38,10 @@
         gateway: Gateway,
         head_limit: int,
         body_limit: int,
-        connection_limit: int,
         pause_detector: PauseDetector,
+        limits: IntakeLimits,
+        find_caller_limits: Callable[[], CallerLimits | None],
+        metrics: Metrics,
     ) -> None:
         self._streams = streams
         self._context = ConnectionContext(
@@ -42,8 +50,13 @@
             head_limit=head_limit,
             body_limit=body_limit,
             pause_detector=pause_detector,
+            limits=limits,
+            find_caller_limits=find_caller_limits,
+            count_closed=lambda reason: metrics.callers_closed.labels(reason=reason).inc(),
+            count_pause=lambda reason: metrics.caller_pauses.labels(reason=reason).inc(),
         )
-        self._connection_limit = connection_limit
+        self.intake = self._context.intake
+        self.intake.note_room = self._accept_again
         self._listener: socket.socket | None = None
         self._is_serving = False
 
@@ -71,7 +84,7 @@
         """Start accepting connections."""
         if self._listener is not None and not self._is_serving:
             self._is_serving = True
-            self._streams.start_accepting(self._listener, self._accept)
+            self._streams.start_accepting(self._listener, self._accept, self._has_room)
 
     def close(self) -> None:
         """Stop accepting connections and close idle ones."""
@@ -88,8 +101,18 @@
             if connection.idle_since < older_than:
                 connection.close_if_idle()
 
-    def _accept(self, sock: socket.socket) -> None:
-        if len(self._context.connections) >= self._connection_limit:
-            sock.close()
+    def _accept_again(self) -> None:
+        listener = self._listener
+        if listener is None or not self._streams.has_paused_accepting(listener):
             return
+        if self.intake.make_room():
+            self._streams.resume_accepting(listener)
+
+    def _has_room(self) -> bool:
+        has_room = self.intake.make_room()
+        if not has_room:
+            self.intake.note_accepting_paused()
+        return has_room
+
+    def _accept(self, sock: socket.socket) -> None:
         self._context.connections.add(CallerConnection(context=self._context, sock=sock))
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 messages: parsing with httptools, and encoding."""
+"""HTTP/1.1 messages: answers are parsed with httptools; encoding of both kinds."""
 
 from __future__ import annotations
 
@@ -9,20 +9,15 @@
 
 import httptools
 
-from dotterelgate_core import codes
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dotterelgate_core.codes import ResultCode
-
 __all__ = [
+    "CONTINUE",
     "LAST_CHUNK",
     "AnswerHead",
     "AnswerReader",
     "HeaderList",
-    "RequestHead",
-    "RequestReader",
     "encode_answer_head",
     "encode_chunk",
     "encode_request_head",
@@ -53,7 +48,7 @@
 _BODYLESS_STATUSES = (204, 304)
 # A field's cost beside its bytes, as HTTP/2 counts it (RFC 9113, 6.5.2); it keeps many short
 # fields from taking far more memory than their bytes.
-_FIELD_OVERHEAD_BYTES = 32
+FIELD_OVERHEAD_BYTES = 32
 ANSWER_HEAD_LIMIT_BYTES = 65_536
 # Bytes read without any of the expected answer's body among them: its head, interim answers,
 # answers to other requests, trailers.
@@ -61,21 +56,6 @@
 MAX_SKIPPED_ANSWERS = 8
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestHead:
-    """Request line and headers.
-
-    :param length: bytes of the body, or ``None`` when it is chunked
-    """
-
-    method: str
-    target: str
-    headers: HeaderList
-    keep_alive: bool
-    length: int | None
-    expects_continue: bool
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerHead:
     """Status line and headers.
@@ -90,133 +70,6 @@
     has_body: bool
 
 
-class RequestReader:
-    """Parses the requests of one connection.
-
-    :param begin: called with each head
-    :param body: called with each part of a body
-    :param end: called when a request is complete
-    :param refuse: called once with a result code and a reason when a request is not valid
-    """
-
-    def __init__(
-        self,
-        *,
-        head_limit: int,
-        begin: Callable[[RequestHead], None],
-        body: Callable[[bytes], None],
-        end: Callable[[], None],
-        refuse: Callable[[ResultCode, str], None],
-    ) -> None:
-        self._head_limit = head_limit
-        self._begin = begin
-        self._body = body
-        self._end = end
-        self._refuse = refuse
-        self._parser = httptools.HttpRequestParser(self)
-        self._target = b""
-        self._headers: HeaderList = []
-        self._head_bytes = 0
-        self._trailer_bytes = 0
-        self._in_head = True
-        self._failed = False
-
-    def feed(self, data: bytes) -> None:
-        """Read bytes as they arrive."""
-        if self._failed:
-            return
-        if self._in_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(codes.UNSUPPORTED, "protocol upgrades are not offered")
-        except httptools.HttpParserError as error:
-            self._fail(codes.MALFORMED_REQUEST, str(error))
-        if self._in_head and self._head_bytes > self._head_limit:
-            self._fail(codes.HEAD_TOO_LARGE, f"the head exceeds {self._head_limit} bytes")
-
-    def on_message_begin(self) -> None:
-        """Library callback."""
-        self._target = b""
-        self._headers = []
-        self._in_head = True
-
-    def on_url(self, part: bytes) -> None:
-        """Library callback."""
-        self._target += part
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Library callback, for trailers too, which are not passed on."""
-        if self._in_head:
-            self._headers.append((name.lower(), value))
-        else:
-            self._count_trailer(name, value)
-
-    def on_headers_complete(self) -> None:
-        """Library callback."""
-        self._in_head = False
-        self._trailer_bytes = 0
-        self._head_bytes = 0
-        if self._failed:
-            return
-        problem = self._find_problem()
-        if problem is not None:
-            self._fail(*problem)
-            return
-        self._begin(self._build_head())
-
-    def on_body(self, part: bytes) -> None:
-        """Library callback."""
-        if not self._failed:
-            self._body(part)
-
-    def on_message_complete(self) -> None:
-        """Library callback."""
-        self._in_head = True
-        if not self._failed:
-            self._end()
-
-    def _count_trailer(self, name: bytes, value: bytes) -> None:
-        self._trailer_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
-        if self._trailer_bytes > self._head_limit:
-            self._fail(codes.HEAD_TOO_LARGE, f"the trailers exceed {self._head_limit} bytes")
-
-    def _find_problem(self) -> tuple[ResultCode, str] | None:
-        if self._parser.should_upgrade():
-            return codes.UNSUPPORTED, "protocol upgrades are not offered"
-        names = [name for name, _ in self._headers]
-        if names.count(b"host") > 1:
-            return codes.MALFORMED_REQUEST, "Host stands twice"
-        if b"host" not in names and self._parser.get_http_version() == "1.1":
-            return codes.MALFORMED_REQUEST, "Host is missing"
-        if names.count(b"idempotency-key") > 1:
-            return codes.MALFORMED_REQUEST, "Idempotency-Key stands twice"
-        encoding = find_header(self._headers, b"transfer-encoding")
-        if encoding is not None and encoding.lower() != b"chunked":
-            return codes.UNSUPPORTED, "the only transfer coding taken is chunked"
-        if len(self._target) > 0 and not self._target.startswith(b"/"):
-            return codes.MALFORMED_REQUEST, "the target must be a path"
-        return None
-
-    def _build_head(self) -> RequestHead:
-        chunked = find_header(self._headers, b"transfer-encoding") is not None
-        expectation = find_header(self._headers, b"expect")
-        return RequestHead(
-            method=self._parser.get_method().decode("ascii"),
-            target=self._target.decode("latin-1"),
-            headers=self._headers,
-            keep_alive=self._parser.should_keep_alive(),
-            length=None if chunked else int(find_header(self._headers, b"content-length") or 0),
-            expects_continue=expectation is not None and expectation.lower() == b"100-continue",
-        )
-
-    def _fail(self, code: ResultCode, reason: str) -> None:
-        if not self._failed:
-            self._failed = True
-            self._refuse(code, reason)
-
-
 class AnswerReader:
     """Parses one answer; each exchange on a connection has its own reader.
 
@@ -286,7 +139,7 @@
         """Library callback, for trailers too, which are not passed on."""
         if self._is_complete or self.problem:
             return
-        self._head_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        self._head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
         if self._head_bytes > ANSWER_HEAD_LIMIT_BYTES:
             self._note_problem(f"its head or trailers exceed {ANSWER_HEAD_LIMIT_BYTES} bytes")
         elif not self._has_head:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -9,6 +9,9 @@
 
 from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.gateway import Gateway
+from dotterelgate_daemon.intake.closing import compute_connection_limit, compute_least_rate
+from dotterelgate_daemon.intake.holdings import compute_account_limit
+from dotterelgate_daemon.intake.supervision import IntakeLimits
 from dotterelgate_daemon.log_output import make_decision_writer
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.polling import DirectPoller
@@ -20,6 +23,7 @@
     from collections.abc import Callable
 
     from dotterelgate_border.settings import CommonSettings
+    from dotterelgate_core.configuration import CallerLimits
     from dotterelgate_core.messages import Decision
     from dotterelgate_core.pipes import Filter
     from dotterelgate_core.state import DaemonState
@@ -88,14 +92,18 @@
         call_after=timers.call_after,
     )
     metrics.in_flight.set_function(lambda: len(gateway.pending))
+    limits = _build_intake_limits(settings)
     caller_server = CallerServer(
         streams=streams,
         gateway=gateway,
         head_limit=settings.head_limit,
         body_limit=settings.kept_body_limit,
-        connection_limit=settings.caller_connections,
         pause_detector=pause_detector,
+        limits=limits,
+        find_caller_limits=lambda: _find_caller_limits(state),
+        metrics=metrics,
     )
+    _supervise_callers(caller_server, state, timers, pause_detector, metrics)
     timers.subscribe(interval=PAUSE_CHECK_SECONDS, call=pause_detector.check)
     gateway.hasten_ticks = timers.subscribe(
         interval=TICK_SECONDS,
@@ -110,9 +118,9 @@
     def close_idle_connections() -> None:
         now = time.monotonic()
         pools.close_idle(older_than=now - settings.connection_idle)
-        current = state.configuration.current
-        if current is not None and current.limits is not None:
-            caller_server.close_idle(older_than=now - current.limits.idle_seconds)
+        caller_limits = _find_caller_limits(state)
+        if caller_limits is not None:
+            caller_server.close_idle(older_than=now - caller_limits.idle_seconds)
 
     timers.subscribe(interval=HOUSEKEEPING_SECONDS, call=close_idle_connections)
     return CommonParts(
@@ -126,3 +134,51 @@
         caller_server=caller_server,
         write_decision=write_decision,
     )
+
+
+def _find_caller_limits(state: DaemonState) -> CallerLimits | None:
+    current = state.configuration.current
+    return current.limits if current is not None else None
+
+
+def _build_intake_limits(settings: CommonSettings) -> IntakeLimits:
+    connections = compute_connection_limit(
+        descriptors=settings.descriptor_limit, connections=settings.caller_connections
+    )
+    return IntakeLimits(
+        memory=compute_account_limit(settings.memory_limit),
+        connections=connections,
+        least_rate=compute_least_rate(
+            link_rate=settings.caller_link_rate, connections=settings.caller_connections
+        ),
+        head_lines=settings.head_line_limit,
+        empty_lines=settings.empty_line_limit,
+        unfinished=settings.unfinished_body_limit,
+    )
+
+
+def _supervise_callers(
+    caller_server: CallerServer,
+    state: DaemonState,
+    timers: TimerService,
+    pause_detector: PauseDetector,
+    metrics: Metrics,
+) -> None:
+    intake = caller_server.intake
+
+    def check_pace() -> None:
+        caller_limits = _find_caller_limits(state)
+        head_seconds = caller_limits.head_seconds if caller_limits is not None else None
+        intake.check_pace(head_seconds=head_seconds)
+        intake.report()
+
+    def unless_paused(check: Callable[[], None]) -> Callable[[], None]:
+        # What arrived while this process did not run has not been read yet.
+        return lambda: intake.restart() if pause_detector.measure() else check()
+
+    timers.subscribe(interval=PAUSE_CHECK_SECONDS, call=unless_paused(intake.check_memory))
+    timers.subscribe(interval=HOUSEKEEPING_SECONDS, call=unless_paused(check_pace))
+    metrics.caller_memory.labels(kind="held").set_function(lambda: intake.account.used)
+    metrics.caller_memory.labels(kind="limit").set(intake.account.limit)
+    metrics.caller_connections.labels(kind="open").set_function(caller_server.count_connections)
+    metrics.caller_connections.labels(kind="limit").set(intake.limits.connections)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -246,6 +246,7 @@
             pending.reply.part(part)
         else:
             pending.answer_body += part
+            pending.note_held()
             if len(pending.answer_body) <= self._buffer_limit:
                 return
             if _is_not_run(pending):
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/http_server.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/http_server.py
@@ -8,13 +8,15 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 
-from dotterelgate_daemon.codec import RequestReader, encode_answer_head
+from dotterelgate_daemon.codec import encode_answer_head
+from dotterelgate_daemon.request_reader import RequestReader
 
 if TYPE_CHECKING:
     import socket
 
     from dotterelgate_core.codes import ResultCode
-    from dotterelgate_daemon.codec import HeaderList, RequestHead
+    from dotterelgate_daemon.codec import HeaderList
+    from dotterelgate_daemon.request_reader import RequestHead
     from dotterelgate_daemon.streams import Stream, StreamService
 
 __all__ = ["HttpRequest", "HttpServer", "answer_json"]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/identities.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/identities.py
@@ -10,7 +10,7 @@
 from dotterelgate_daemon.codec import find_header
 
 if TYPE_CHECKING:
-    from dotterelgate_daemon.codec import RequestHead
+    from dotterelgate_daemon.request_reader import RequestHead
 
 __all__ = ["compute_fingerprint", "compute_identity"]
 
--- /dev/null
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what clients can make the daemon hold."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/metrics.py
@@ -107,6 +107,30 @@
             "Log lines dropped because nobody read the earlier ones",
             registry=self.registry,
         )
+        self.caller_memory = Gauge(
+            "dotterelgate_caller_memory_bytes",
+            "Bytes that callers make the daemon hold, and the most that they may",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.caller_connections = Gauge(
+            "dotterelgate_caller_connections",
+            "Open connections of callers, and the most that there may be",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.callers_closed = Counter(
+            "dotterelgate_callers_closed",
+            "Callers refused or closed for a limit, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.caller_pauses = Counter(
+            "dotterelgate_caller_pauses",
+            "Times that reading or accepting paused, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self.probes = Counter(
             "dotterelgate_probes", "Probes by outcome", ["outcome"], registry=self.registry
         )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/pending_calls.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/pending_calls.py
@@ -27,6 +27,7 @@
     :param relay_started: whether part of an answer was sent already
     :param peer: peer that the call was forwarded to
     :param next_part: number of the next answer part expected from that peer
+    :param note_held: called when the call holds more of an answer
     """
 
     call: Call
@@ -47,3 +48,4 @@
     complete_answer: StoredAnswer | None = None
     service: str = ""
     resume_caller: Callable[[], None] | None = None
+    note_held: Callable[[], None] = lambda: None
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
+import struct
+import termios
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -29,6 +32,8 @@
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MILLISECONDS = 3000
+# What a buffered write costs beside its bytes.
+WRITE_OVERHEAD_BYTES = 64
 
 
 def bind_to(sock: socket.socket, address: str) -> None:
@@ -59,6 +64,9 @@
     :param receive: called with bytes as they arrive
     :param lost: called once when the remote side or the network ended the connection
     :param ready: called once when an opened connection is established
+
+    ``closed`` is called once when the connection ends, for whatever reason. ``decide_reading``
+    returns how many bytes are read now; at 0, reading stops until ``resume``.
     """
 
     def __init__(
@@ -75,6 +83,8 @@
         self.lost = lost
         self.ready = ready
         self.drained: Callable[[], None] | None = None
+        self.closed: Callable[[], None] = _ignore
+        self.decide_reading: Callable[[], int] = lambda: READ_BYTES
         self.is_open = True
         self.received_eof = False
         self.was_refused = False
@@ -85,10 +95,27 @@
         self._closes_when_sent = False
         self._paused = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that writes take which the kernel has not accepted."""
+        return self._pending_bytes + len(self._pending) * WRITE_OVERHEAD_BYTES
+
     @property
     def is_full(self) -> bool:
         """Whether writers should wait for ``drained``."""
-        return self._pending_bytes > HIGH_WATER_BYTES
+        return self.held_bytes > HIGH_WATER_BYTES
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading has stopped."""
+        return self._paused
+
+    def measure_acknowledged(self) -> int:
+        """Measure the bytes that the remote side has acknowledged."""
+        if not self.is_open:
+            return self.sent_bytes
+        queued = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        return self.sent_bytes - struct.unpack("i", queued)[0]
 
     def write(self, data: bytes) -> None:
         """Send what the kernel accepts now, and buffer the rest."""
@@ -106,6 +133,9 @@
         if self.is_open:
             self.is_open = False
             self._service.drop(self)
+            self._pending.clear()
+            self._pending_bytes = 0
+            self.closed()
 
     def close_when_sent(self) -> None:
         """Close after everything written has been sent."""
@@ -149,8 +179,12 @@
         """Read once and call ``receive``; called when the socket is readable."""
         if not self.is_open or self._paused:
             return
+        size = self.decide_reading()
+        if not size:
+            self.pause()
+            return
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(size)
         except BlockingIOError:
             return
         except OSError as error:
@@ -205,6 +239,8 @@
     def __init__(self, *, poller: DirectPoller) -> None:
         self._poller = poller
         self._listeners: dict[socket.socket, Callable[[socket.socket], None]] = {}
+        self._room_checks: dict[socket.socket, Callable[[], bool]] = {}
+        self._paused_listeners: set[socket.socket] = set()
 
     def listen(self, *, address: str, accept: Callable[[socket.socket], None]) -> socket.socket:
         """Listen on ``IP:port`` and call ``accept`` with each new connection.
@@ -228,9 +264,19 @@
         sock.setblocking(False)
         return sock
 
-    def start_accepting(self, sock: socket.socket, accept: Callable[[socket.socket], None]) -> None:
-        """Call ``accept`` with each connection to a listening socket."""
+    def start_accepting(
+        self,
+        sock: socket.socket,
+        accept: Callable[[socket.socket], None],
+        has_room: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Call ``accept`` with each connection to a listening socket.
+
+        :param has_room: returns whether a further connection is accepted; while it is not,
+            connections wait in the kernel until ``resume_accepting``
+        """
         self._listeners[sock] = accept
+        self._room_checks[sock] = has_room
         watch = Watch(read=lambda: self._accept(sock), write=_ignore, lost=_ignore)
         self._poller.watch(self, sock, watch)
 
@@ -240,8 +286,20 @@
             self._accept(sock)
         if self._listeners.pop(sock, None) is not None:
             self._poller.discard(sock)
+            self._paused_listeners.discard(sock)
+            del self._room_checks[sock]
             sock.close()
 
+    def has_paused_accepting(self, sock: socket.socket) -> bool:
+        """Return whether connections to a listening socket wait in the kernel."""
+        return sock in self._paused_listeners
+
+    def resume_accepting(self, sock: socket.socket) -> None:
+        """Accept connections again."""
+        if sock in self._paused_listeners:
+            self._paused_listeners.discard(sock)
+            self._poller.addReader(self, sock)
+
     def adopt(
         self,
         *,
@@ -309,6 +367,9 @@
 
     def _accept(self, listener: socket.socket) -> None:
         for _ in range(ACCEPTS_PER_EVENT):
+            if not self._room_checks[listener]():
+                self._pause_accepting(listener)
+                return
             try:
                 sock, _address = listener.accept()
             except BlockingIOError:
@@ -318,6 +379,11 @@
                 return
             self._listeners[listener](sock)
 
+    def _pause_accepting(self, listener: socket.socket) -> None:
+        if listener not in self._paused_listeners:
+            self._paused_listeners.add(listener)
+            self._poller.removeReader(listener)
+
 
 def _ignore() -> None:
     pass
