--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -88,7 +88,7 @@
         """Return the limits on heads: those of the configuration, or else of the settings."""
         limits = self.find_caller_limits()
         size = limits.head_bytes if limits is not None else self.head_limit
-        return self.intake.make_head_limits(size)
+        return self.intake.find_head_limits(size)
 
 
 @dataclass(kw_only=True)
@@ -221,7 +221,7 @@
             self._context.gateway.note_disconnect(current.pending.call.id)
 
     def _begin(self, head: RequestHead) -> None:
-        refusal = self._refuse_body(head)
+        refusal = self._context.intake.refuse_body(self.holding, head.length)
         if refusal is not None:
             self._reader.discard()
             self._refuse_arriving(refusal)
@@ -231,9 +231,6 @@
         if head.expects_continue and len(self._waiting) == 1 and self._current is None:
             self._stream.write(CONTINUE)
 
-    def _refuse_body(self, head: RequestHead) -> Refusal | None:
-        return self._context.intake.refuse_body(self.holding) if head.length != 0 else None
-
     def _receive_body(self, part: bytes) -> None:
         arriving = self._arriving
         assert arriving is not None
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/heads.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/heads.py
@@ -11,6 +11,8 @@
 FIELD_BYTES = 168
 # Colon and line end of a field; spaces need not follow the colon.
 PUNCTUATION_BYTES = 3
+# Method, version and line ends of a request line, and the empty line after the fields.
+REQUEST_LINE_BYTES = 64
 # Parser, head and call of a request.
 REQUEST_BYTES = 4096
 
@@ -65,7 +67,8 @@
 
     def find_problem(self, limits: HeadLimits) -> str | None:
         """Return which limit is exceeded."""
-        if max(self.arrived - self.target, self.fields, self.target) > limits.size:
+        arrived = self.arrived - self.target - REQUEST_LINE_BYTES
+        if max(arrived, self.fields, self.target) > limits.size:
             return f"the head exceeds {limits.size} bytes"
         if self.lines > limits.lines:
             return f"the head exceeds {limits.lines} lines"
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/supervision.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/supervision.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Protocol
 
 import structlog
@@ -19,6 +19,7 @@
 )
 from dotterelgate_daemon.intake.heads import HeadLimits
 from dotterelgate_daemon.intake.holdings import (
+    SMALL_BYTES,
     Awaited,
     Holding,
     MemoryAccount,
@@ -98,20 +99,23 @@
         self.account = MemoryAccount(limit=limits.memory)
         self.note_room: Callable[[], None] = lambda: None
         self._clients = clients
+        self._head_limits = HeadLimits(
+            size=0, lines=limits.head_lines, empty_lines=limits.empty_lines
+        )
         self._count_closed = count_closed
         self._count_pause = count_pause
         self._waiting: deque[Client] = deque()
         self._short_since: float | None = None
         self._unreported: Counter[tuple[str, str]] = Counter()
 
-    def make_head_limits(self, size: int) -> HeadLimits:
-        """Build the limits on heads.
+    def find_head_limits(self, size: int) -> HeadLimits:
+        """Return the limits on heads, built again only when the size has changed.
 
         :param size: bytes of a head
         """
-        return HeadLimits(
-            size=size, lines=self.limits.head_lines, empty_lines=self.limits.empty_lines
-        )
+        if self._head_limits.size != size:
+            self._head_limits = replace(self._head_limits, size=size)
+        return self._head_limits
 
     def decide_reading(self, client: Client) -> int:
         """Decide how many bytes are read from a client; it is resumed when there is memory."""
@@ -125,10 +129,15 @@
             self._note_pause("memory")
         return size
 
-    def refuse_body(self, holding: Holding) -> Refusal | None:
-        """Return the refusal of a request whose body is not read while memory is short."""
-        count = self.account.unfinished.get(holding.address, 0)
-        if not self.account.is_short or count < self.limits.unfinished:
+    def refuse_body(self, holding: Holding, length: int | None) -> Refusal | None:
+        """Return the refusal of a request whose body is not read while memory is short.
+
+        :param length: bytes of the body, or ``None`` when it is chunked
+        """
+        is_small = length is not None and length <= SMALL_BYTES
+        if is_small or not self.account.is_short:
+            return None
+        if self.account.unfinished.get(holding.address, 0) < self.limits.unfinished:
             return None
         self.note_closed("address")
         reason = "memory is short, and the address has too many incomplete requests"
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/request_reader.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/request_reader.py
@@ -141,6 +141,8 @@
             self._meter.empty_lines += data.count(b"\n", 0, len(data) - len(request))
             data = request
             self._first_bytes = len(data)
+            if self._has_exceeded():
+                return
         elif self._in_head:
             self._meter.arrived += len(data)
         else:
@@ -153,9 +155,14 @@
         except httptools.HttpParserError as error:
             self._fail(codes.MALFORMED_REQUEST, str(error))
         self._first_bytes = 0
+        self._has_exceeded()
+
+    def _has_exceeded(self) -> bool:
+        """Check the limits, and refuse the request when one is exceeded."""
         problem = self._meter.find_problem(self._find_limits())
-        if problem is not None and not self._failed:
+        if problem is not None:
             self._fail(codes.HEAD_TOO_LARGE, problem)
+        return problem is not None
 
     def on_message_begin(self) -> None:
         """Library callback."""
