--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -422,7 +422,10 @@
             self._close()
             return
         self._start_next()
-        self.resume_reading()
+        if self._stream.is_paused or self._reader.has_unparsed:
+            self.resume_reading()
+        else:
+            self._note_held()
 
     def _is_blocked(self) -> bool:
         """Return whether later requests have to wait for those before them."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/request_reader.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/request_reader.py
@@ -96,6 +96,11 @@
         """Whether a head has begun and is incomplete."""
         return self._in_head and self._has_begun and not self._failed
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes stayed unparsed."""
+        return bool(self._unparsed)
+
     @property
     def held_bytes(self) -> int:
         """Bytes of memory that an incomplete head and unparsed bytes take."""
@@ -137,17 +142,15 @@
     def _parse(self, data: bytes) -> None:
         """Parse some bytes, and check the limits on what was parsed of an incomplete head."""
         if self._in_head and not self._has_begun:
-            request = data.lstrip(b"\r\n")
-            self._meter.empty_lines += data.count(b"\n", 0, len(data) - len(request))
-            data = request
+            if data.startswith((b"\r", b"\n")):
+                data = self._skip_empty_lines(data)
             self._first_bytes = len(data)
-            if self._has_exceeded():
-                return
         elif self._in_head:
             self._meter.arrived += len(data)
         else:
             self._meter.framing += len(data)
-        assert self._parser is not None
+        if self._failed or self._parser is None:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -155,14 +158,19 @@
         except httptools.HttpParserError as error:
             self._fail(codes.MALFORMED_REQUEST, str(error))
         self._first_bytes = 0
-        self._has_exceeded()
+        if self._has_begun:
+            self._check_limits()
+
+    def _skip_empty_lines(self, data: bytes) -> bytes:
+        request = data.lstrip(b"\r\n")
+        self._meter.empty_lines += data.count(b"\n", 0, len(data) - len(request))
+        self._check_limits()
+        return request
 
-    def _has_exceeded(self) -> bool:
-        """Check the limits, and refuse the request when one is exceeded."""
+    def _check_limits(self) -> None:
         problem = self._meter.find_problem(self._find_limits())
         if problem is not None:
             self._fail(codes.HEAD_TOO_LARGE, problem)
-        return problem is not None
 
     def on_message_begin(self) -> None:
         """Library callback."""
