Measure a caller's connection in a class of its own

The connection describes what its requests hold; the watch keeps the account, tells what is awaited and gives the connection up.

--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -104,7 +104,7 @@
 
 @then("while memory is short, address {address} gets {answer} for a body of {length}")
 def check_address(context, address, answer, length):
-    intake = Intake(limits=IntakeLimits(memory=100, unfinished=2), clients=set)
+    intake = Intake(limits=IntakeLimits(memory=100, unfinished=2))
     for _ in range(2):
         holding = Holding(address="crowded", opened_at=NOW, awaited=Awaited.BODY)
         intake.account.note_body(holding, has_body=True)
@@ -125,7 +125,7 @@
     stream.receive(request * count)
     (connection,) = subject.context.connections
     context.most = subject.context.intake.account.used
-    assert connection.holding.awaited is Awaited.READING
+    assert connection._watch.holding.awaited is Awaited.READING
     # Limits are checked between slices of the bytes that arrive.
     assert len(connection._waiting) <= MAX_PIPELINED_REQUESTS + SLICE_BYTES // len(request)
     stream.reset()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -18,8 +18,9 @@
     find_header,
 )
 from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
-from dotterelgate_daemon.intake.holdings import Holding, find_awaited, measure_call
+from dotterelgate_daemon.intake.holdings import measure_call
 from dotterelgate_daemon.intake.supervision import Intake, IntakeLimits
+from dotterelgate_daemon.intake.watching import ConnectionWatch, RequestLoad
 from dotterelgate_daemon.pending_calls import PendingCall
 from dotterelgate_daemon.replies import Reply
 from dotterelgate_daemon.request_bodies import RequestBody
@@ -79,7 +80,6 @@
         """Build the supervision of the connections."""
         self.intake = Intake(
             limits=self.limits,
-            clients=lambda: self.connections,
             count_closed=self.count_closed,
             count_pause=self.count_pause,
         )
@@ -110,7 +110,6 @@
             sock=sock, receive=self._receive, lost=self._note_disconnect
         )
         self._stream.drained = self._resume_answer
-        self._stream.decide_reading = lambda: context.intake.decide_reading(self)
         self._stream.closed = self._free
         self._waiting: deque[_IncomingRequest] = deque()
         self._arriving: _IncomingRequest | None = None
@@ -120,13 +119,6 @@
         self._unread_wait = 0.0
         self.idle_since = time.monotonic()
         self._is_closing = False
-        self.address = self._find_address()
-        self.holding = Holding(
-            address=self.address,
-            opened_at=self.idle_since,
-            awaited_since=self.idle_since,
-            progressed_at=self.idle_since,
-        )
         self._reader = RequestReader(
             head_limit=context.head_limit,
             begin=self._begin,
@@ -136,6 +128,15 @@
             find_limits=context.find_head_limits,
             is_blocked=self._is_blocked,
         )
+        self._watch = ConnectionWatch(
+            intake=context.intake,
+            stream=self._stream,
+            reader=self._reader,
+            describe=self._describe_load,
+            refuse=self._refuse_arriving,
+            drop=self._note_disconnect,
+            resume=self.resume_reading,
+        )
 
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or may be in transit."""
@@ -144,57 +145,29 @@
         if self._current is None and self._arriving is None:
             self._close()
 
-    def give_up(self, refusal: Refusal) -> None:
-        """Refuse its request, or close the connection where the request may have run."""
-        has_request = self._reader.is_in_head or self._arriving is not None
-        is_answering = self._current is not None or self._stream.held_bytes > 0
-        if has_request and not is_answering and not self._is_closing:
-            self._reader.discard()
-            self._refuse_arriving(refusal)
-        else:
-            self._stream.close()
-            self._note_disconnect()
-
-    def update_holding(self) -> None:
-        """Measure what the connection holds, and what the client has acknowledged."""
-        self.holding.note_acknowledged(self._stream.measure_acknowledged(), time.monotonic())
-        self._note_held()
-
     def resume_reading(self) -> None:
         """Parse what stayed unparsed, and read again."""
         self._reader.resume()
         self._stream.resume()
         self._pause_if_full()
-        self._note_held()
+        self._watch.note_held()
 
-    def _note_held(self) -> None:
-        """Note what the connection holds and what it waits for, in the account of all."""
-        if not self._stream.is_open:
-            return
-        held = self._reader.held_bytes + self._stream.held_bytes
-        for each in self._waiting:
-            held += each.head.cost + each.body.held_bytes
+    def _describe_load(self) -> RequestLoad:
         current = self._current
+        held = sum(each.head.cost + each.body.held_bytes for each in self._waiting)
         if current is not None:
             held += current.head.cost + current.body.held_bytes + measure_call(current.pending)
-        account = self._context.intake.account
-        account.update(self.holding, held)
-        account.note_body(self.holding, has_body=self._arriving is not None)
-        awaited = find_awaited(
-            has_unsent=self._stream.held_bytes > 0,
-            is_closing=self._is_closing,
+        return RequestLoad(
+            held=held,
             has_body=self._arriving is not None,
-            is_paused=self._stream.is_paused,
-            is_in_head=self._reader.is_in_head,
-            has_request=self._current is not None,
+            has_request=current is not None,
+            is_closing=self._is_closing,
         )
-        if awaited is not self.holding.awaited:
-            self.holding.note_awaited(awaited, time.monotonic())
 
     def _close(self) -> None:
         self._is_closing = True
         self._stream.close_when_sent()
-        self._note_held()
+        self._watch.note_held()
 
     def _free(self) -> None:
         """Free what the connection holds, since it has ended."""
@@ -203,17 +176,16 @@
             each.body.discard()
         self._waiting.clear()
         self._arriving = None
-        self._reader.discard()
-        self._context.intake.release(self.holding)
+        self._watch.free()
 
     def _receive(self, data: bytes) -> None:
         if self._is_closing:
             return
         self._unread_wait = self._context.pause_detector.measure()
-        self.holding.note_received(len(data), time.monotonic())
+        self._watch.note_received(len(data))
         self._reader.feed(data)
         self._pause_if_full()
-        self._note_held()
+        self._watch.note_held()
 
     def _note_disconnect(self) -> None:
         current, self._current = self._current, None
@@ -221,7 +193,7 @@
             self._context.gateway.note_disconnect(current.pending.call.id)
 
     def _begin(self, head: RequestHead) -> None:
-        refusal = self._context.intake.refuse_body(self.holding, head.length)
+        refusal = self._watch.refuse_body(head.length)
         if refusal is not None:
             self._reader.discard()
             self._refuse_arriving(refusal)
@@ -301,7 +273,7 @@
             reply=self._make_reply(),
             arrived=time.monotonic(),
             resume_caller=self.resume_reading,
-            note_held=self._note_held,
+            note_held=self._watch.note_held,
         )
         self._context.gateway.admit(incoming.pending)
 
@@ -328,14 +300,8 @@
             credential=terms.credential,
         )
 
-    def _find_address(self) -> str:
-        try:
-            return self._stream.sock.getpeername()[0]
-        except OSError:
-            return "unknown"
-
     def _list_headers(self, head: RequestHead) -> HeaderList:
-        host = self.address.encode("ascii")
+        host = self._watch.holding.address.encode("ascii")
         return [*head.headers, (b"x-forwarded-for", host), (b"via", b"1.1 dotterelgate")]
 
     def _make_reply(self) -> Reply:
@@ -382,7 +348,7 @@
 
     def _send_part(self, part: bytes) -> None:
         self._stream.write(encode_chunk(part) if self._chunked else part)
-        self._note_held()
+        self._watch.note_held()
 
     def _end_answer(self) -> None:
         if self._chunked:
@@ -425,7 +391,7 @@
         if self._stream.is_paused or self._reader.has_unparsed:
             self.resume_reading()
         else:
-            self._note_held()
+            self._watch.note_held()
 
     def _is_blocked(self) -> bool:
         """Return whether later requests have to wait for those before them."""
@@ -448,6 +414,6 @@
 
     def _resume_answer(self) -> None:
         self._start_next()
-        self._note_held()
+        self._watch.note_held()
         if self._current is not None and self._current.pending is not None:
             self._context.gateway.resume_answer(self._current.pending.call.id)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/supervision.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/supervision.py
@@ -55,9 +55,6 @@
     def resume_reading(self) -> None:
         """Read again after memory was short."""
 
-    def close_if_idle(self) -> None:
-        """Close unless a request is in progress or may be in transit."""
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class IntakeLimits:
@@ -82,7 +79,6 @@
 class Intake:
     """Keeps the account of callers' memory, and closes those that exceed a limit.
 
-    :param clients: returns the open connections
     :param count_closed: counts a connection that was refused or closed, by reason
     :param count_pause: counts a pause of reading or accepting, by reason
     """
@@ -91,14 +87,13 @@
         self,
         *,
         limits: IntakeLimits,
-        clients: Callable[[], set],
         count_closed: Callable[[str], None] = lambda reason: None,
         count_pause: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self.limits = limits
         self.account = MemoryAccount(limit=limits.memory)
         self.note_room: Callable[[], None] = lambda: None
-        self._clients = clients
+        self.clients: set[Client] = set()
         self._head_limits = HeadLimits(
             size=0, lines=limits.head_lines, empty_lines=limits.empty_lines
         )
@@ -161,7 +156,7 @@
     def restart(self) -> None:
         """Judge all clients by what they do from now on, after this process did not run."""
         now = time.monotonic()
-        for client in self._clients():
+        for client in self.clients:
             client.holding.awaited_since = client.holding.progressed_at = now
             client.holding.start_window(now)
 
@@ -178,13 +173,12 @@
         self.note_room()
 
     def _evict(self, now: float, short_since: float) -> None:
-        clients: set[Client] = self._clients()
-        for client in clients:
+        for client in self.clients:
             if client.holding.awaited is Awaited.READING:
                 client.update_holding()
         unfinished = self.account.unfinished
         chosen = choose_evicted(
-            ((client.holding, client) for client in clients),
+            ((client.holding, client) for client in self.clients),
             excess=self.account.excess,
             now=now,
             short_since=short_since,
@@ -221,7 +215,7 @@
         :param head_seconds: seconds within which a head has to arrive
         """
         now = time.monotonic()
-        for client in list(self._clients()):
+        for client in list(self.clients):
             holding = client.holding
             if holding.awaited in _NOT_JUDGED:
                 continue
@@ -245,18 +239,17 @@
 
         :returns: whether another one can be accepted
         """
-        clients: set[Client] = self._clients()
-        if len(clients) < self.limits.connections:
+        if len(self.clients) < self.limits.connections:
             return True
         chosen = choose_replaced(
-            ((client.holding, client) for client in clients),
+            ((client.holding, client) for client in self.clients),
             now=time.monotonic(),
             count=REPLACED_AT_ONCE,
         )
         for client in chosen:
             reason = "all connections allowed are in use"
             self._give_up(client, "connections", codes.MEMORY_SHORT, reason)
-        return len(self._clients()) < self.limits.connections
+        return len(self.clients) < self.limits.connections
 
     def note_accepting_paused(self) -> None:
         """Count a pause of accepting, for the metric and the log."""
@@ -271,6 +264,6 @@
                 count=count,
                 held_bytes=self.account.used,
                 limit_bytes=self.account.limit,
-                connections=len(self._clients()),
+                connections=len(self.clients),
             )
         self._unreported.clear()
