--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -14,6 +14,7 @@
 from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.dialect import DIALECT
 from dotterelgate_daemon.gateway import Gateway
+from dotterelgate_daemon.intake.supervision import IntakeLimits
 from dotterelgate_daemon.metrics import Metrics
 from dotterelgate_daemon.peering import Peering
 from dotterelgate_daemon.pools import PoolTable
@@ -127,7 +128,9 @@
             gateway=self.gateway,
             head_limit=HEAD_LIMIT,
             body_limit=BODY_LIMIT,
-            connection_limit=100,
+            limits=IntakeLimits(),
+            find_caller_limits=lambda: None,
+            metrics=Metrics(),
             pause_detector=PauseDetector(),
             call_after=lambda *, delay, call: self.timers.append((delay, call)),
             is_idempotent=lambda call: is_idempotent(self.daemon.state.configuration, call),
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -113,6 +113,9 @@
     _NOT_RUN,
     "The credential was removed while the request waited or was retried.",
 )
+REQUEST_TIMEOUT = ResultCode(
+    117, "request_timeout", 408, _NOT_RUN, "The request did not arrive fast enough."
+)
 DEADLINE_PASSED = ResultCode(
     200, "deadline_passed", 504, _NOT_RUN, "The time limit passed before dispatch."
 )
@@ -137,6 +140,9 @@
 QUOTA_EXCEEDED = ResultCode(
     207, "quota_exceeded", 429, _NOT_RUN, "The quota of the caller's organisation is used up."
 )
+MEMORY_SHORT = ResultCode(
+    208, "memory_short", 503, _NOT_RUN, "The daemon has no memory for requests that wait."
+)
 NO_HOLDER = ResultCode(
     300, "no_holder", 503, _ATTEMPT, "No daemon holds the key's range at the moment."
 )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -7,6 +7,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.pipelining import (
     MAX_HELD_BYTES,
@@ -15,17 +16,20 @@
     find_startable,
 )
 from dotterelgate_daemon.caller_responses import CallerResponse
-from dotterelgate_daemon.codec import CONTINUE, RequestReader
+from dotterelgate_daemon.codec import CONTINUE
 from dotterelgate_daemon.incoming_requests import IncomingRequest
+from dotterelgate_daemon.intake.holdings import measure_call
+from dotterelgate_daemon.intake.watching import ConnectionWatch, RequestLoad
 from dotterelgate_daemon.lingering import close_in_steps
 from dotterelgate_daemon.pending_calls import PendingCall
+from dotterelgate_daemon.request_reader import RequestReader
 
 if TYPE_CHECKING:
     import socket
 
     from dotterelgate_core.codes import ResultCode
-    from dotterelgate_daemon.codec import RequestHead
     from dotterelgate_daemon.connection_context import ConnectionContext
+    from dotterelgate_daemon.request_reader import RequestHead
 
 __all__ = ["CallerConnection"]
 
@@ -47,7 +51,7 @@
             sock=sock, receive=self._receive, lost=self._drop_requests
         )
         self._stream.drained = self._resume_answer
-        self._stream.closed = lambda: context.connections.discard(self)
+        self._stream.closed = self._free
         self._requests: deque[IncomingRequest] = deque()
         self._arriving: IncomingRequest | None = None
         self._refusal: Refusal | None = None
@@ -61,6 +65,17 @@
             body=self._receive_body,
             end=self._end_body,
             refuse=self._refuse_invalid,
+            find_limits=context.find_head_limits,
+            is_blocked=self._is_blocked,
+        )
+        self._watch = ConnectionWatch(
+            intake=context.intake,
+            stream=self._stream,
+            reader=self._reader,
+            describe=self._describe_load,
+            refuse=self._refuse_arriving,
+            drop=self._drop_requests,
+            resume=self._resume_reading,
         )
 
     @property
@@ -76,11 +91,32 @@
             self._is_closing = True
             self._stream.close_when_sent()
 
+    def _describe_load(self) -> RequestLoad:
+        return RequestLoad(
+            held=sum(
+                each.head.cost
+                + each.body.held_bytes
+                + each.response.held_bytes
+                + measure_call(each.pending)
+                for each in self._requests
+            ),
+            has_body=self._arriving is not None,
+            has_request=any(each.is_started for each in self._requests),
+            is_closing=self._is_closing,
+        )
+
+    def _free(self) -> None:
+        """Free what the connection holds, since it has ended."""
+        self._context.connections.discard(self)
+        self._watch.free()
+
     def _receive(self, data: bytes) -> None:
         self._unread_wait = self._context.pause_detector.measure()
+        self._watch.note_received(len(data))
         self._reader.feed(data)
         if self._is_full() and not self._is_closing:
             self._stream.pause()
+        self._watch.note_held()
 
     def _close(self) -> None:
         # Bytes that were not read, of this request or of later ones, would reset the connection.
@@ -98,6 +134,11 @@
                 each.body.discard()
 
     def _begin(self, head: RequestHead) -> None:
+        refusal = self._watch.refuse_body(head.length)
+        if refusal is not None:
+            self._reader.discard()
+            self._refuse_arriving(refusal)
+            return
         request = IncomingRequest(
             head=head,
             unread_wait=self._unread_wait,
@@ -138,8 +179,13 @@
             request.ready_at = time.monotonic()
 
     def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
-        self._refusal = Refusal(code, reason)
-        arriving = self._arriving
+        if code is codes.HEAD_TOO_LARGE:
+            self._context.intake.note_closed("head")
+        self._refuse_arriving(Refusal(code, reason))
+
+    def _refuse_arriving(self, refusal: Refusal) -> None:
+        self._refusal = refusal
+        arriving, self._arriving = self._arriving, None
         if arriving is not None and arriving.is_started:
             self._stream.close()
             self._drop_requests()
@@ -256,35 +302,43 @@
         request.pending = PendingCall(
             call=call,
             target=request.head.target,
-            headers=request.list_headers(self._find_host()),
+            headers=request.list_headers(self._watch.holding.address.encode("ascii")),
             body=request.body,
             length=length,
             reply=request.response.make_reply(),
             arrived=time.monotonic(),
             resume_caller=self._resume_reading,
+            note_held=self._watch.note_held,
         )
         self._context.gateway.admit(request.pending)
 
-    def _find_host(self) -> bytes:
-        try:
-            return self._stream.sock.getpeername()[0].encode("ascii")
-        except OSError:
-            return b"unknown"
-
-    def _is_full(self) -> bool:
-        """Return whether reading should pause."""
+    def _is_blocked(self) -> bool:
+        """Return whether bytes behind those that were parsed have to wait."""
         if len(self._requests) >= MAX_PIPELINED_REQUESTS:
             return True
         arriving = self._arriving
         if arriving is not None and arriving.pending is not None:
-            return self._context.gateway.is_body_full(arriving.pending)
+            return False
         unstarted = (each.body.held_bytes for each in self._requests if not each.is_started)
         return sum(unstarted) > self._context.body_limit
 
+    def _is_full(self) -> bool:
+        """Return whether reading should pause."""
+        arriving = self._arriving
+        if arriving is not None and arriving.pending is not None:
+            if self._context.gateway.is_body_full(arriving.pending):
+                return True
+        return self._is_blocked()
+
     def _resume_reading(self) -> None:
+        if self._is_full():
+            return
+        self._reader.resume()
         if not self._is_full():
             self._stream.resume()
+        self._watch.note_held()
 
     def _resume_answer(self) -> None:
         if self._requests and self._requests[0].pending is not None:
             self._context.gateway.resume_answer(self._requests[0].pending.call.id)
+        self._watch.note_held()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/connection_context.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/connection_context.py
@@ -5,12 +5,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dotterelgate_daemon.intake.supervision import Intake, IntakeLimits
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelgate_core.configuration import CallerLimits
     from dotterelgate_core.messages import Call
     from dotterelgate_daemon.caller_connections import CallerConnection
     from dotterelgate_daemon.gateway import Gateway
+    from dotterelgate_daemon.intake.heads import HeadLimits
     from dotterelgate_daemon.streams import StreamService
     from dotterelgate_daemon.timers import PauseDetector
 
@@ -28,6 +32,10 @@
     :param is_idempotent: returns whether a call may run more than once
     :param is_stopping: whether connections close after the answer in progress
     :param connections: the open connections
+    :param limits: limits on what all callers make the daemon hold
+    :param find_caller_limits: returns the limits of the configuration in force
+    :param count_closed: counts a caller that was refused or closed for a limit, by reason
+    :param count_pause: counts a pause of reading or accepting, by reason
     """
 
     streams: StreamService
@@ -39,3 +47,21 @@
     is_idempotent: Callable[[Call], bool]
     is_stopping: bool = False
     connections: set[CallerConnection] = field(default_factory=set)
+    limits: IntakeLimits = field(default_factory=IntakeLimits)
+    find_caller_limits: Callable[[], CallerLimits | None] = lambda: None
+    count_closed: Callable[[str], None] = lambda reason: None
+    count_pause: Callable[[str], None] = lambda reason: None
+
+    def __post_init__(self) -> None:
+        """Build the supervision of the connections."""
+        self.intake = Intake(
+            limits=self.limits,
+            count_closed=self.count_closed,
+            count_pause=self.count_pause,
+        )
+
+    def find_head_limits(self) -> HeadLimits:
+        """Return the limits on heads: those of the configuration, or else of the settings."""
+        limits = self.find_caller_limits()
+        size = limits.head_bytes if limits is not None else self.head_limit
+        return self.intake.find_head_limits(size)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -243,6 +243,7 @@
             pending.reply.part(part)
         else:
             attempt.body += part
+            pending.note_held()
             if len(attempt.body) <= self._buffer_limit:
                 return
             if attempt.is_refusal:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
@@ -14,9 +14,10 @@
 
 if TYPE_CHECKING:
     from dotterelgate_daemon.caller_responses import CallerResponse
-    from dotterelgate_daemon.codec import HeaderList, RequestHead
+    from dotterelgate_daemon.codec import HeaderList
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.pending_calls import PendingCall
+    from dotterelgate_daemon.request_reader import RequestHead
 
 __all__ = ["IncomingRequest"]
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/streams.py
@@ -32,6 +32,8 @@
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MILLISECONDS = 3000
+# What a buffered write costs beside its bytes.
+WRITE_OVERHEAD_BYTES = 64
 
 
 def bind_to(sock: socket.socket, address: str) -> None:
@@ -63,7 +65,8 @@
     :param lost: called once when the remote side or the network ended the connection
     :param ready: called once when an opened connection is established
 
-    ``closed`` is called once when the connection ends, for whatever reason.
+    ``closed`` is called once when the connection ends, for whatever reason. ``decide_reading``
+    returns how many bytes are read now; at 0, reading stops until ``resume``.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         self.ready = ready
         self.drained: Callable[[], None] | None = None
         self.closed: Callable[[], None] = _ignore
+        self.decide_reading: Callable[[], int] = lambda: READ_BYTES
         self.is_open = True
         self.received_eof = False
         self.was_refused = False
@@ -91,20 +95,44 @@
         self._when_sent: Callable[[], None] | None = None
         self._paused = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that writes take which the kernel has not accepted."""
+        return self._pending_bytes + len(self._pending) * WRITE_OVERHEAD_BYTES
+
     @property
     def is_full(self) -> bool:
         """Whether writers should wait for ``drained``."""
-        return self._pending_bytes > HIGH_WATER_BYTES
+        return self.held_bytes > HIGH_WATER_BYTES
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading has stopped."""
+        return self._paused
+
+    def measure_acknowledged(self) -> int:
+        """Measure the bytes that the remote side has acknowledged."""
+        return self.sent_bytes - self._count_unacknowledged()
 
     @property
     def is_sending(self) -> bool:
         """Whether the remote side has not acknowledged everything written."""
         if not self.is_open or self._pending:
             return self.is_open
+        return self._count_unacknowledged() > 0
+
+    def _count_unacknowledged(self) -> int:
+        """Count the bytes that the kernel still has to send, 0 where it cannot tell."""
+        if not self.is_open:
+            return 0
         count = array("i", [0])
-        # SIOCOUTQ has the same number.
-        fcntl.ioctl(self.sock, termios.TIOCOUTQ, count)
-        return count[0] > 0
+        try:
+            # SIOCOUTQ has the same number.
+            fcntl.ioctl(self.sock, termios.TIOCOUTQ, count)
+        except OSError as error:
+            self._service.note_uncounted(error)
+            return 0
+        return count[0]
 
     def write(self, data: bytes) -> None:
         """Send what the kernel accepts now, and buffer the rest."""
@@ -122,6 +150,8 @@
         if self.is_open:
             self.is_open = False
             self._service.drop(self)
+            self._pending.clear()
+            self._pending_bytes = 0
             self.closed()
 
     def close_when_sent(self) -> None:
@@ -179,8 +209,12 @@
         """Read once and call ``receive``; called when the socket is readable."""
         if not self.is_open or self._paused:
             return
+        size = self.decide_reading()
+        if not size:
+            self.pause()
+            return
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(size)
         except BlockingIOError:
             return
         except OSError as error:
@@ -235,6 +269,15 @@
     def __init__(self, *, poller: DirectPoller) -> None:
         self._poller = poller
         self._listeners: dict[socket.socket, Callable[[socket.socket], None]] = {}
+        self._room_checks: dict[socket.socket, Callable[[], bool]] = {}
+        self._paused_listeners: set[socket.socket] = set()
+        self._is_uncounted_logged = False
+
+    def note_uncounted(self, error: OSError) -> None:
+        """Log once that the kernel does not tell what it still has to send."""
+        if not self._is_uncounted_logged:
+            self._is_uncounted_logged = True
+            logger.warning("streams: unsent bytes cannot be counted", error=str(error))
 
     def listen(self, *, address: str, accept: Callable[[socket.socket], None]) -> socket.socket:
         """Listen on ``IP:port`` and call ``accept`` with each new connection.
@@ -258,9 +301,19 @@
         sock.setblocking(False)
         return sock
 
-    def start_accepting(self, sock: socket.socket, accept: Callable[[socket.socket], None]) -> None:
-        """Call ``accept`` with each connection to a listening socket."""
+    def start_accepting(
+        self,
+        sock: socket.socket,
+        accept: Callable[[socket.socket], None],
+        has_room: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Call ``accept`` with each connection to a listening socket.
+
+        :param has_room: returns whether a further connection is accepted; while it is not,
+            connections wait in the kernel until ``resume_accepting``
+        """
         self._listeners[sock] = accept
+        self._room_checks[sock] = has_room
         watch = Watch(read=lambda: self._accept(sock), write=_ignore, lost=_ignore)
         self._poller.watch(self, sock, watch)
 
@@ -270,8 +323,20 @@
             self._accept(sock)
         if self._listeners.pop(sock, None) is not None:
             self._poller.discard(sock)
+            self._paused_listeners.discard(sock)
+            del self._room_checks[sock]
             sock.close()
 
+    def has_paused_accepting(self, sock: socket.socket) -> bool:
+        """Return whether connections to a listening socket wait in the kernel."""
+        return sock in self._paused_listeners
+
+    def resume_accepting(self, sock: socket.socket) -> None:
+        """Accept connections again."""
+        if sock in self._paused_listeners:
+            self._paused_listeners.discard(sock)
+            self._poller.addReader(self, sock)
+
     def adopt(
         self,
         *,
@@ -341,6 +406,9 @@
 
     def _accept(self, listener: socket.socket) -> None:
         for _ in range(ACCEPTS_PER_EVENT):
+            if not self._room_checks[listener]():
+                self._pause_accepting(listener)
+                return
             try:
                 sock, _address = listener.accept()
             except BlockingIOError:
@@ -350,6 +418,11 @@
                 return
             self._listeners[listener](sock)
 
+    def _pause_accepting(self, listener: socket.socket) -> None:
+        if listener not in self._paused_listeners:
+            self._paused_listeners.add(listener)
+            self._poller.removeReader(listener)
+
 
 def _ignore() -> None:
     pass
