Join the limits on callers with requests that are sent ahead

Cause: two parts changed how a caller's connection reads; after the merge a caller that read no responses got further ones, and a backend server's own refusal of a write counted as not run. Change: a connection whose responses are not read starts no further request; what a server states and what the daemon may replace are told apart.

--- a/features/subjects/organisations.py
+++ b/features/subjects/organisations.py
@@ -52,7 +52,7 @@
         ],
         "services": [{"name": "stock"}, {"name": "packs"}],
         "tenants": [
-            {"name": "one", "api-keys": ["key-one"], "rate-per-s": 5, "burst": 5},
+            {"name": "one", "api-keys": ["key-one"]},
             {"name": "two", "api-keys": ["key-two"], "priority": 1},
         ],
     }
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -227,6 +227,9 @@
             if first.response.has_ended:
                 self._finish(self._requests.popleft())
                 return True
+        if self._stream.is_full:
+            # A caller that does not read its responses gets no further ones.
+            return False
         ahead = list(islice(self._requests, MAX_PIPELINED_REQUESTS))
         described = [self._describe(each, is_first=each is ahead[0]) for each in ahead]
         index = find_startable(described, held_bytes=self._count_held())
@@ -341,4 +344,5 @@
     def _resume_answer(self) -> None:
         if self._requests and self._requests[0].pending is not None:
             self._context.gateway.resume_answer(self._requests[0].pending.call.id)
+        self._advance()
         self._watch.note_held()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/gateway.py
@@ -246,7 +246,7 @@
             pending.note_held()
             if len(attempt.body) <= self._buffer_limit:
                 return
-            if attempt.is_refusal:
+            if attempt.may_be_replaced:
                 _fail(attempt, codes.ANSWER_INVALID, "a refusal with a large body")
                 return
             if not self._begin_relay(pending, attempt):
@@ -296,7 +296,7 @@
             call_id=pending.call.id,
             server=attempt.server,
             status=attempt.status,
-            ran=not attempt.is_refusal,
+            ran=not attempt.is_rejection,
             report=attempt.terms.report,
             stored_answer=self._select_storable(pending.complete_answer),
         )
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/server_attempts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/server_attempts.py
@@ -42,11 +42,14 @@
         return self.start.status if self.start is not None else 0
 
     @property
-    def is_refusal(self) -> bool:
+    def is_rejection(self) -> bool:
+        """Whether the backend server answered that it did not run the request."""
+        return self.terms is not None and self.terms.not_run
+
+    @property
+    def may_be_replaced(self) -> bool:
         """Whether the pipeline may have to replace the answer by another one."""
-        if self.terms is not None and self.terms.not_run:
-            return True
-        return not self.is_idempotent and promises_not_run(self.status)
+        return self.is_rejection or not self.is_idempotent and promises_not_run(self.status)
 
     def begin_answer(self, head: AnswerHead, control: frozenset[bytes]) -> None:
         """Note the head of the answer, whose terms were read before.
@@ -56,7 +59,7 @@
         assert self.terms is not None
         if self.exchange is not None:
             self.exchange.idle_seconds = self.terms.idle_seconds
-            self.exchange.is_failure = self.terms.not_run or head.status >= FIRST_FAILURE_STATUS
+            self.exchange.is_failure = self.is_rejection or head.status >= FIRST_FAILURE_STATUS
         headers = select_end_to_end(head.headers, control)
         self.start = AnswerStart(
             status=head.status, headers=headers, length=head.length, server=self.server
