--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -86,6 +86,8 @@
         # Bytes that were not read, of this request or of later ones, would reset the connection.
         self._is_closing = True
         self._drop_requests()
+        if self._arriving is not None:
+            self._arriving.body.discard()
         close_in_steps(self._stream, call_after=self._context.call_after)
 
     def _drop_requests(self) -> None:
