Keep the steps on cold servers and home regions apart from those of other features

Cause: a step on cold servers also matched one of server_limits, which failed with it.

Change: the sentences of these steps name their subject.

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -47,7 +47,7 @@
   Scenario Outline: The newest statement says whether a server is cold
     Given a daemon with a server of a service that limits cold servers to 5 a second for 60 s
     When it learns in this order about the cold: <statements>
-    Then the server is <state>
+    Then the server is then <state>
 
     Examples: entries, answers to probes, peers with the age of what they heard, heartbeats
       | statements                                     | state              |
@@ -73,7 +73,7 @@
       | entry 0, new run 30                            | cold for 30 s      |
 
   Scenario Outline: What the platform writes is read, and nothing else
-    Then <what> <value> is read as <read>
+    Then of the platform <what> <value> is read as <read>
 
     Examples: headers and configurations
       | what              | value  | read |
@@ -93,5 +93,5 @@
     When 8 callers send requests without pause
     And i-1 is cold for 6 s, as its answers to probes say
     Then i-1 got at most 14 requests in any 1 s from 0.5 s after that until it is warm
-    And i-1 got 6 requests or more in these 6 s
+    And cold i-1 got 6 requests or more in these 6 s
     And i-1 gets more than 4 requests in 1 s, and 20 in 100 of all, within 10 s after that
--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -5,7 +5,7 @@
     Given a daemon with a free server in each of north, east, south and west
     And a route with the homes <route> and an organisation with the homes <organisation>
     When <what> and 8 requests of the organisation arrive
-    Then they are <outcome>
+    Then these calls are <outcome>
 
     Examples: homes
       | route    | organisation | what                | outcome                                |
@@ -24,7 +24,7 @@
     Given a daemon with a free server in each of north, east, south and west
     And a route with the homes none and an organisation with the homes two
     When south is full and 8 requests of the organisation arrive
-    Then they are refused with overloaded
+    Then these calls are refused with overloaded
     And a request of another organisation is sent elsewhere
 
   Scenario: An owner keeps the homes of other daemons' calls, and grants outside them are not used
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -246,14 +246,14 @@
 }
 
 
-@then("the server is {state}")
+@then("the server is then {state}")
 def check_state(context, state):
     left = context.daemon.state.servers.states["i-1"].cold_until - context.daemon.now
     expected = 0.0 if state == "warm" else float(state.split()[2])
     assert abs(max(0.0, left) - expected) < 0.01, left
 
 
-@then("{what} {value} is read as {read}")
+@then("of the platform {what} {value} is read as {read}")
 def check_read(context, what, value, read):
     expected = None if read == "none" else float(read)
     if what == "Cold-Remaining-Ms":
@@ -297,7 +297,7 @@
     assert max(counts, default=0) <= most, max(counts)
 
 
-@then("{name} got {least:d} requests or more in these {seconds:d} s")
+@then("cold {name} got {least:d} requests or more in these {seconds:d} s")
 def check_used(context, name, least, seconds):
     arrivals = list_arrivals(context, name, context.warm_at - seconds, context.warm_at)
     assert len(arrivals) >= least, len(arrivals)
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -37,13 +37,13 @@
     context.outcomes = context.daemon.send_many(count)
 
 
-@then("they are sent to {servers}")
+@then("these calls are sent to {servers}")
 def check_sent(context, servers):
     allowed = set(servers.split(", "))
     assert context.outcomes and context.outcomes <= allowed, context.outcomes
 
 
-@then("they are refused with {code}")
+@then("these calls are refused with {code}")
 def check_refused(context, code):
     assert context.outcomes == {f"refused with {code}"}, context.outcomes
 
