--- a/packages/dotterelgate-core/src/dotterelgate_core/queueing/fair_queues.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/queueing/fair_queues.py
@@ -109,7 +109,7 @@
         if self.reachable and self.reachable[0] is waiting:
             self.reachable.popleft()
         else:
-            self.late.remove(waiting)
+            self.late.pop(0)
         self.cost -= waiting.cost
 
 
