--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import resource
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -142,8 +143,12 @@
 
 
 def _build_intake_limits(settings: CommonSettings) -> IntakeLimits:
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    descriptors = settings.descriptor_limit
+    if soft_limit != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, soft_limit)
     connections = compute_connection_limit(
-        descriptors=settings.descriptor_limit, connections=settings.caller_connections
+        descriptors=descriptors, connections=settings.caller_connections
     )
     return IntakeLimits(
         memory=compute_account_limit(settings.memory_limit),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/closing.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/intake/closing.py
@@ -49,7 +49,8 @@
     :param descriptors: descriptors that the process may have open
     :param connections: connections that the settings allow
     """
-    return min(connections, int((descriptors - FILE_DESCRIPTORS) * CALLERS_SHARE))
+    available = int((descriptors - FILE_DESCRIPTORS) * CALLERS_SHARE)
+    return max(1, min(connections, available))
 
 
 def compute_least_rate(*, link_rate: float, connections: int) -> float:
