--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -47,11 +47,12 @@
     Then no organisation got more than its quota allows in any window
 
     Examples: troubles
-      | trouble                                         |
-      | all zones are cut off from each other           |
-      | all daemons are cut off from each other         |
-      | a third of the daemons are killed and restarted |
+      | trouble                                            |
+      | all zones are cut off from each other              |
+      | all daemons are cut off from each other            |
+      | a third of the daemons are killed and restarted    |
       | all lenders of the largest organisation are killed |
+      | all quotas are lowered to a quarter                |
 
   # Lost and late datagrams, partitions of any shape, kills and restarts, in any order.
   Scenario: Drawn schedules of six daemons
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -42,6 +42,9 @@
         for second, change in ((TROUBLE_SECONDS, zones.kill), (RETURN_SECONDS, zones.restart))
         for number in range(0, zones.daemons, zones.zones)
     ],
+    "all quotas are lowered to a quarter": lambda zones: zones.at(
+        TROUBLE_SECONDS, lambda: zones.lower(0.25)
+    ),
     "all zones are cut off from each other": lambda zones: zones.at(
         TROUBLE_SECONDS, zones.divide_zones
     ),
--- a/features/subjects/quota_zones.py
+++ b/features/subjects/quota_zones.py
@@ -103,6 +103,14 @@
         """Cut all zones off from each other."""
         self.divide({name: self._find_zone(name) for name in self.running})
 
+    def lower(self, share):
+        """Lower all quotas to a share, and check what arrives from now on."""
+        self.load = {name: load / share for name, load in self.load.items()}
+        self.quotas = {name: (rate * share, b * share) for name, (rate, b) in self.quotas.items()}
+        self.arrivals.clear()
+        for daemon in self.running.values():
+            self._configure(daemon, 3)
+
     def kill(self, name):
         """End a daemon."""
         self._stopped.add(name)
@@ -168,18 +176,24 @@
         daemon.state.quotas.view.entries = frozenset(names)
         daemon.next_id = (1 + names.index(name)) * CALL_IDS_PER_DAEMON + next(self._sequence)
         daemon.configure()
+        self._configure(daemon, 2)
+        return daemon
+
+    def _configure(self, daemon, revision):
         organisations = tuple(
             Organisation(name=each, credentials=frozenset((each.encode(),)), rate=r, burst=b)
             for each, (r, b) in self.quotas.items()
         )
         plain = daemon.state.configuration.current
         configuration = Configuration(
-            id="2", revision=2, services=plain.services, organisations=organisations
+            id=str(revision),
+            revision=revision,
+            services=plain.services,
+            organisations=organisations,
         )
         daemon.run_control(
             ConfigurationStored(now=self.now, configuration=configuration, source="a test")
         )
-        return daemon
 
     def _greet(self, name):
         for other in self.running:
