--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -71,11 +71,9 @@
         return []
     call_state = _choose_call(state, subqueue, freed.now)
     policy = policies[call_state.routed.service.policy]
-    allowed = [
-        each
-        for each in pool
-        if is_at_home(state, call_state, each) and has_allowance(state, each, freed.now)
-    ]
+    allowed = [each for each in pool if has_allowance(state, each, freed.now)]
+    if is_restricted(call_state):
+        allowed = [each for each in allowed if is_at_home(state, call_state, each)]
     candidates = _select_candidates(allowed, call_state, freed.now, late=policy.late)
     if not candidates:
         return _refuse_restricted(subqueue, call_state, freed.now)
--- a/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
@@ -60,6 +60,8 @@
 
 
 def _is_without_server(state: DaemonState, call_state: CallState, now: float) -> bool:
+    if not state.evacuations.list_evacuated():
+        return False
     pool = state.servers.by_service.get(call_state.routed.service.name, [])
     pool = [each for each in pool if is_at_home(state, call_state, each)]
     if not any(each.is_evacuated for each in pool):
