--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -74,11 +74,9 @@
     subqueue, waiting = found
     call_state = waiting.call_state
     policy = policies[call_state.routed.service.policy]
-    allowed = [
-        each
-        for each in pool
-        if is_at_home(state, call_state, each) and has_allowance(state, each, freed.now)
-    ]
+    allowed = [each for each in pool if has_allowance(state, each, freed.now)]
+    if is_restricted(call_state):
+        allowed = [each for each in allowed if is_at_home(state, call_state, each)]
     candidates = _select_candidates(allowed, call_state, freed.now, late=policy.late)
     candidates = keep_in_zone(candidates, allowed, call_state, freed.now, zone=state.zone)
     if not candidates:
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -60,7 +60,7 @@
     ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``,
     ``DenySlot``, ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``,
     ``LendTokens``, ``ReturnTokens``, ``QuotaApplied``, ``CountSecondAttempt``, ``TickAt``,
-    ``RefuseCall`` and ``Decision``.
+    ``FailUnsent``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
