Fail unsent attempts at evacuated servers one by one

Cause: a call has an object for each attempt since second attempts exist, so the order to fail unsent calls named too little. Change: the order names call and server of each attempt.

--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -248,7 +248,8 @@
         dispatched.append(find(orders, messages.Dispatch).server.name)
 
     exchange = SimpleNamespace(stream=stream, fail=fail)
-    pending = {context.call_id: SimpleNamespace(exchange=exchange)}
+    call = SimpleNamespace(attempts={"i-1": SimpleNamespace(exchange=exchange)})
+    pending = {context.call_id: call}
     fail_unsent(SimpleNamespace(pending=pending), context.order)
     return dispatched
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/evacuations/applying.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/evacuations/applying.py
@@ -43,12 +43,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FailUnsent:
-    """Order to fail those of some calls of which nothing was sent, since their servers left.
+    """Order to fail those of some attempts of which nothing was sent, since their servers left.
 
     A connection that is being opened would carry the request whenever it comes about.
+
+    :param attempts: id of the call and name of the backend server of each
     """
 
-    call_ids: tuple[int, ...]
+    attempts: tuple[tuple[int, str], ...]
 
 
 def make_evacuation_filter(state: DaemonState) -> Filter:
--- a/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
@@ -51,12 +51,13 @@
 
 def _fail_unsent(state: DaemonState) -> list[Message]:
     servers = state.servers.states
-    call_ids = tuple(
-        call_state.call.id
+    attempts = tuple(
+        (call_state.call.id, name)
         for call_state in state.calls.states.values()
-        if call_state.server in servers and servers[call_state.server].is_evacuated
+        for name in call_state.running
+        if name in servers and servers[name].is_evacuated
     )
-    return [FailUnsent(call_ids=call_ids)] if call_ids else []
+    return [FailUnsent(attempts=attempts)] if attempts else []
 
 
 def _is_without_server(state: DaemonState, call_state: CallState, now: float) -> bool:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/evacuating.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/evacuating.py
@@ -15,10 +15,11 @@
 
 
 def fail_unsent(gateway: Gateway, order: FailUnsent) -> None:
-    """Fail the calls whose connection is not established yet, so that they go elsewhere."""
+    """Fail the attempts whose connection is not established yet, so that calls go elsewhere."""
     refusal = Refusal(codes.CONNECT_FAILED, "its zone was evacuated before it accepted")
-    for call_id in order.call_ids:
+    for call_id, server in order.attempts:
         pending = gateway.pending.get(call_id)
-        exchange = pending.exchange if pending is not None else None
+        attempt = pending.attempts.get(server) if pending is not None else None
+        exchange = attempt.exchange if attempt is not None else None
         if exchange is not None and exchange.stream is None:
             exchange.fail(refusal)
