--- a/packages/dotterelgate-border/src/dotterelgate_border/settings.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/settings.py
@@ -106,14 +106,16 @@
     ] = 0.3
 
 
-def read_settings(path: Path, model: type[AnySettings]) -> AnySettings:
+def read_settings(path: Path, model: type[AnySettings], given: str = "{}") -> AnySettings:
     """Read a JSON file of settings and check every value.
 
+    :param given: JSON object of settings that the environment gives; the file goes before them
     :raises InvalidDocumentError: with a line for each problem
     """
     document = load_json(path)
     if not isinstance(document, dict):
         raise InvalidDocumentError(problems=[f"{path}: must be a JSON object; correct the file"])
+    document = {**_decode_given(given), **document}
     types = get_type_hints(model, include_extras=True)
     required = {field.name for field in msgspec.structs.fields(model) if field.required}
     problems = [
@@ -133,6 +135,14 @@
     return model(**values)
 
 
+def _decode_given(given: str) -> dict[str, object]:
+    try:
+        return msgspec.json.decode(given, type=dict[str, object])
+    except msgspec.MsgspecError as error:
+        problem = f"the settings of the environment: {error}; correct them"
+        raise InvalidDocumentError(problems=[problem]) from error
+
+
 def _explain(error: msgspec.ValidationError) -> str:
     message = str(error)
     messages = (text for pattern, text in _MESSAGES.items() if repr(pattern)[1:-1] in message)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -18,7 +18,6 @@
 from dotterelgate_daemon.caller_responses import CallerResponse
 from dotterelgate_daemon.codec import CONTINUE
 from dotterelgate_daemon.incoming_requests import IncomingRequest
-from dotterelgate_daemon.intake.holdings import measure_call
 from dotterelgate_daemon.intake.watching import ConnectionWatch, RequestLoad
 from dotterelgate_daemon.lingering import close_in_steps
 from dotterelgate_daemon.pending_calls import PendingCall
@@ -66,7 +65,7 @@
             end=self._end_body,
             refuse=self._refuse_invalid,
             find_limits=context.find_head_limits,
-            is_blocked=self._is_blocked,
+            is_blocked=self._is_full,
         )
         self._watch = ConnectionWatch(
             intake=context.intake,
@@ -90,29 +89,24 @@
         if not self._requests and not self._is_closing:
             self._is_closing = True
             self._stream.close_when_sent()
+            self._watch.note_held()
+
+    def _free(self) -> None:
+        self._context.connections.discard(self)
+        self._arriving = None
+        self._watch.free()
 
     def _describe_load(self) -> RequestLoad:
         return RequestLoad(
-            held=sum(
-                each.head.cost
-                + each.body.held_bytes
-                + each.response.held_bytes
-                + measure_call(each.pending)
-                for each in self._requests
-            ),
-            has_body=self._arriving is not None,
+            held=sum(each.held_bytes for each in self._requests),
+            has_body=self._arriving is not None and not self._is_closing,
             has_request=any(each.is_started for each in self._requests),
             is_closing=self._is_closing,
         )
 
-    def _free(self) -> None:
-        """Free what the connection holds, since it has ended."""
-        self._context.connections.discard(self)
-        self._watch.free()
-
     def _receive(self, data: bytes) -> None:
-        self._unread_wait = self._context.pause_detector.measure()
         self._watch.note_received(len(data))
+        self._unread_wait = self._context.pause_detector.measure()
         self._reader.feed(data)
         if self._is_full() and not self._is_closing:
             self._stream.pause()
@@ -124,7 +118,10 @@
         self._drop_requests()
         if self._arriving is not None:
             self._arriving.body.discard()
+            self._arriving = None
+        self._reader.discard()
         close_in_steps(self._stream, call_after=self._context.call_after)
+        self._watch.note_held()
 
     def _drop_requests(self) -> None:
         """Cancel the requests that were passed on, and forget the others."""
@@ -134,6 +131,7 @@
                 self._context.gateway.note_disconnect(each.pending.call.id)
             elif not each.is_started:
                 each.body.discard()
+            each.response.free()
 
     def _begin(self, head: RequestHead) -> None:
         refusal = self._watch.refuse_body(head.length)
@@ -152,6 +150,7 @@
                 must_close=lambda: self._must_close(request),
                 may_hold=lambda: self._count_held() <= MAX_HELD_BYTES,
                 changed=self._advance,
+                written=self._watch.note_held,
             ),
         )
         self._arriving = request
@@ -187,7 +186,7 @@
 
     def _refuse_arriving(self, refusal: Refusal) -> None:
         self._refusal = refusal
-        arriving, self._arriving = self._arriving, None
+        arriving = self._arriving
         if arriving is not None and arriving.is_started:
             self._stream.close()
             self._drop_requests()
@@ -195,6 +194,7 @@
         if arriving is not None and arriving in self._requests:
             self._requests.remove(arriving)
             arriving.body.discard()
+            arriving.response.free()
         self._advance()
 
     def _advance(self) -> None:
@@ -229,13 +229,10 @@
             if first.response.has_ended:
                 self._finish(self._requests.popleft())
                 return True
-        if self._stream.is_full:
-            # A caller that does not read its responses gets no further ones.
-            return False
         ahead = list(islice(self._requests, MAX_PIPELINED_REQUESTS))
         described = [self._describe(each, is_first=each is ahead[0]) for each in ahead]
         index = find_startable(described, held_bytes=self._count_held())
-        if index is None:
+        if index is None or self._stream.is_full:
             return False
         self._start(ahead[index])
         return True
@@ -261,7 +258,9 @@
 
     def _finish(self, request: IncomingRequest) -> None:
         self.idle_since = time.monotonic()
-        if request.response.closes or self._must_close(request):
+        closes = request.response.closes or self._must_close(request)
+        request.response.free()
+        if closes:
             self._close()
 
     def _must_close(self, request: IncomingRequest) -> bool:
@@ -317,34 +316,24 @@
         )
         self._context.gateway.admit(request.pending)
 
-    def _is_blocked(self) -> bool:
-        """Return whether bytes behind those that were parsed have to wait."""
+    def _is_full(self) -> bool:
+        """Return whether reading should pause."""
         if len(self._requests) >= MAX_PIPELINED_REQUESTS:
             return True
         arriving = self._arriving
         if arriving is not None and arriving.pending is not None:
-            return False
+            return self._context.gateway.is_body_full(arriving.pending)
         unstarted = (each.body.held_bytes for each in self._requests if not each.is_started)
         return sum(unstarted) > self._context.body_limit
 
-    def _is_full(self) -> bool:
-        """Return whether reading should pause."""
-        arriving = self._arriving
-        if arriving is not None and arriving.pending is not None:
-            if self._context.gateway.is_body_full(arriving.pending):
-                return True
-        return self._is_blocked()
-
     def _resume_reading(self) -> None:
-        if self._is_full():
-            return
-        self._reader.resume()
+        if not self._is_full():
+            self._reader.resume()
         if not self._is_full():
             self._stream.resume()
         self._watch.note_held()
 
     def _resume_answer(self) -> None:
+        self._advance()
         if self._requests and self._requests[0].pending is not None:
             self._context.gateway.resume_answer(self._requests[0].pending.call.id)
-        self._advance()
-        self._watch.note_held()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_responses.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_responses.py
@@ -29,6 +29,7 @@
     :param must_close: returns whether the connection closes after this response
     :param may_hold: returns whether more bytes may be held
     :param changed: called when bytes were held, and when the response has ended
+    :param written: called when bytes were written to the stream
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         must_close: Callable[[], bool],
         may_hold: Callable[[], bool],
         changed: Callable[[], None],
+        written: Callable[[], None] = lambda: None,
     ) -> None:
         self.closes = False
         self.has_ended = False
@@ -51,6 +53,7 @@
         self._must_close = must_close
         self._may_hold = may_hold
         self._changed = changed
+        self._written = written
         self._held = bytearray()
         self._has_turn = False
         self._chunked = False
@@ -84,6 +87,12 @@
         self._held.clear()
         return True
 
+    def free(self) -> None:
+        """Drop what is held and the callbacks, which refer to the request and so to this object."""
+        self._held = bytearray()
+        self._must_close = self._may_hold = lambda: False
+        self._changed = self._written = lambda: None
+
     def refuse(self, refusal: Refusal) -> None:
         """Respond with a result code."""
         if self.has_ended:
@@ -142,6 +151,7 @@
     def _write(self, data: bytes) -> None:
         if self._has_turn:
             self._stream.write(data)
+            self._written()
         else:
             self._held += data
             self._changed()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
@@ -9,6 +9,7 @@
 from dotterelgate_core.messages import Call
 from dotterelgate_daemon.codec import find_header
 from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
+from dotterelgate_daemon.intake.holdings import measure_call
 from dotterelgate_daemon.request_bodies import RequestBody
 from dotterelgate_daemon.targets import read_path
 
@@ -41,6 +42,12 @@
     is_idempotent: bool = False
     is_continued: bool = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that it takes, with its response."""
+        held = self.head.cost + self.body.held_bytes + self.response.held_bytes
+        return held + measure_call(self.pending)
+
     def build_call(self, *, gateway: Gateway, body_limit: int) -> Call | Refusal:
         """Build the call; a body that is not complete will be streamed.
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/reloading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/reloading.py
@@ -21,18 +21,19 @@
 logger = structlog.get_logger("reloading")
 
 
-def make_reload(path: Path, settings: CommonSettings) -> Callable[[], None]:
+def make_reload(path: Path, settings: CommonSettings, given: str = "{}") -> Callable[[], None]:
     """Build the function that compares the file with the settings in force.
 
     Addresses and limits are fixed for the life of a process, so a change is only
     checked and logged; it is in force from the next start.
 
     :param path: file that the settings were read from
+    :param given: settings that the environment gives, as JSON
     """
 
     def reload() -> None:
         try:
-            changed = read_settings(path, type(settings))
+            changed = read_settings(path, type(settings), given)
         except InvalidDocumentError as error:
             logger.warning("reloading: the settings are not valid", problems=error.problems)
             return
