Lend as before while all daemons stop

Daemons that cannot decide still lend if no other can, so that calls get the refusal that names the cause.

--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/shares.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/shares.py
@@ -43,7 +43,7 @@
     :param updated_at: monotonic second of the last update
     :param changed_at: monotonic second since which the same daemons of the zone can lend
     :param alive: number of live daemons of the own zone, this one included
-    :param able: those of them that have a configuration and so can lend
+    :param able: those of them that can decide, or all if none can
     :param zone_part: share of the own zone's daemons that are alive, 0 to 1
     :param share: part of all quotas that the lender of the own zone lends, 0 to 1
     :param own_share: part that this daemon may use by itself when no lender answers
@@ -80,7 +80,7 @@
     if view.started_at is None:
         view.started_at = now
     alive = _list_alive(state, now)
-    able = frozenset(each for each in alive if _can_lend(state, each))
+    able = frozenset(each for each in alive if _can_lend(state, each)) or frozenset(alive)
     if able != view.able or now - view.updated_at > PAUSE_SECONDS:
         view.able = able
         view.changed_at = now
@@ -111,8 +111,10 @@
     if view.entries is None and now - view.started_at < DIRECTORY_WAIT_SECONDS:
         view.share = view.own_share = 0.0
         return
-    view.own_share = 1.0 / max(1, _sum_known(view))
-    view.share = view.alive * view.own_share
+    known = max(1, _sum_known(view))
+    view.share = view.alive / known
+    # Daemons that stop use it as well.
+    view.own_share = 1.0 / max(known, 1 + len(state.peers.listed))
     if view.minority_since is not None and now - view.minority_since > MINORITY_SECONDS:
         view.share *= MINORITY_FACTOR
         view.own_share *= MINORITY_FACTOR
@@ -121,17 +123,24 @@
 def _list_alive(state: DaemonState, now: float) -> list[str]:
     # The first heartbeat of a daemon does not state when the next one follows.
     unstated = SILENCE_SECONDS * find_zone_interval_factor(state)
+    all_leave = _all_leave(state)
     alive = []
     for peer in state.peers.listed.values():
         stated = SILENCE_INTERVALS * peer.heartbeat_interval
         silence = max(SILENCE_SECONDS, stated) if stated else unstated
-        if peer.zone == state.zone and not peer.leaving and now - peer.seen_at <= silence:
+        is_counted = peer.zone == state.zone and (all_leave or not peer.leaving)
+        if is_counted and now - peer.seen_at <= silence:
             alive.append(peer.name)
-    if not state.peers.leaving:
+    if all_leave or not state.peers.leaving:
         alive.append(state.name)
     return alive
 
 
+def _all_leave(state: DaemonState) -> bool:
+    """Return whether all daemons stop; then they lend as before, until they have stopped."""
+    return state.peers.leaving and all(peer.leaving for peer in state.peers.listed.values())
+
+
 def _can_lend(state: DaemonState, name: str) -> bool:
     return state.can_decide if name == state.name else state.peers.listed[name].can_decide
 
@@ -141,13 +150,14 @@
 
     Those that were not heard since the start have the empty zone.
     """
+    all_leave = _all_leave(state)
     zones: dict[str, list[Peer]] = {state.zone: []}
     for peer in state.peers.listed.values():
-        if not peer.leaving:
+        if all_leave or not peer.leaving:
             zones.setdefault(peer.zone, []).append(peer)
     heard_within = REMOTE_SILENCE_SECONDS * find_remote_interval_factor(state)
     known = {zone: _count_zone(peers, now, heard_within) for zone, peers in zones.items()}
-    if not state.peers.leaving:
+    if all_leave or not state.peers.leaving:
         known[state.zone] += 1
     unheard = _count_unheard(state, sum(known.values()), now)
     if unheard:
