--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -29,6 +29,7 @@
       | trouble                                            | passed |
       | a lender of the largest organisation is killed     | 99     |
       | a third of the daemons are killed and restarted    | 95     |
+      | all daemons stop one after the other               | 99     |
       | all zones are cut off from each other              | 95     |
 
   Scenario: One organisation sends far too much, and the others notice nothing
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -42,6 +42,10 @@
         for second, change in ((TROUBLE_SECONDS, zones.kill), (RETURN_SECONDS, zones.restart))
         for number in range(0, zones.daemons, zones.zones)
     ],
+    "all daemons stop one after the other": lambda zones: [
+        zones.at(TROUBLE_SECONDS + number * 0.1, lambda n=f"front-{number}": zones.stop(n))
+        for number in range(zones.daemons)
+    ],
     "all quotas are lowered to a quarter": lambda zones: zones.at(
         TROUBLE_SECONDS, lambda: zones.lower(0.25)
     ),
--- a/features/subjects/quota_zones.py
+++ b/features/subjects/quota_zones.py
@@ -111,6 +111,13 @@
         for daemon in self.running.values():
             self._configure(daemon, 3)
 
+    def stop(self, name):
+        """Let a daemon announce that it stops; it still has callers."""
+        self.running[name].state.peers.leaving = True
+        for other in self.running:
+            if other != name and self._reaches(name, other):
+                self._receive_heartbeat(other, name, HEARTBEAT_SECONDS)
+
     def kill(self, name):
         """End a daemon."""
         self._stopped.add(name)
@@ -228,6 +235,8 @@
         daemon = self.running[name]
         daemon.now = self.now
         daemon.receive_heartbeat(sender, zone=self._find_zone(sender), interval=interval)
+        is_leaving = self.running[sender].state.peers.leaving
+        daemon.state.peers.listed[sender].leaving = is_leaving
 
     def _tick(self, name, number):
         self.at(self.now - self.begin + TICK_SECONDS, lambda: self._tick(name, number + 1))
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lenders.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.allowances.buckets import ROUNDING, TokenBucket
-from dotterelgate_core.allowances.shares import update_shares
+from dotterelgate_core.allowances.messages import ReturnTokens
+from dotterelgate_core.allowances.shares import PAUSE_SECONDS, update_shares
 from dotterelgate_core.owners import list_owners
 from dotterelgate_core.peers import rank_by_rendezvous
 
 if TYPE_CHECKING:
     from dotterelgate_core.configuration import Organisation
-    from dotterelgate_core.messages import Decision
+    from dotterelgate_core.pipes import Message
     from dotterelgate_core.state import DaemonState
 
 __all__ = [
@@ -75,25 +76,35 @@
     return ranked[:1] == [state.name]
 
 
-def refresh_view(state: DaemonState, now: float) -> list[Decision]:
-    """Update the shares, and forget the tokens that another daemon of the zone lends now.
+def refresh_view(state: DaemonState, now: float, *, at_once: bool = False) -> list[Message]:
+    """Update the shares, and hand over the tokens that another daemon of the zone lends now.
 
-    :returns: a line where the share changed
+    :param at_once: whether to update a recent view, where a peer may have a newer one
+    :returns: orders, and a line where the share changed
     """
     if state.configuration.organisations is None:
         return []
     view = state.quotas.view
     changed_at = view.changed_at
-    lines = update_shares(state, now)
+    if now - view.updated_at > PAUSE_SECONDS:
+        # Another daemon may have lent them while this one did not run.
+        state.quotas.lent.clear()
+    messages: list[Message] = [*update_shares(state, now, at_once=at_once)]
     if view.changed_at != changed_at:
-        _drop_lost_buckets(state)
-    return lines
+        messages += _hand_over(state, now)
+    return messages
 
 
-def _drop_lost_buckets(state: DaemonState) -> None:
+def _hand_over(state: DaemonState, now: float) -> list[Message]:
     lent = state.quotas.lent
+    orders: list[Message] = []
     for organisation in [each for each in lent if not _is_lender(state, each)]:
-        del lent[organisation]
+        level = lent.pop(organisation).level
+        successor = next(iter(list_lenders(state, organisation, now)), None)
+        if successor is not None and level > 0:
+            order = ReturnTokens(lender=successor, organisation=organisation, count=level)
+            orders.append(order)
+    return orders
 
 
 def lend_tokens(
@@ -114,11 +125,15 @@
 
 def accept_returned(
     state: DaemonState, organisation: Organisation, count: float, now: float
-) -> None:
-    """Add tokens that a daemon returned, where this daemon lends."""
+) -> bool:
+    """Add tokens that a daemon returned or handed over.
+
+    :returns: whether this daemon lends them
+    """
     bucket = _refill_bucket(state, organisation, now)
     if bucket is not None:
         bucket.level += count
+    return bucket is not None
 
 
 def _refill_bucket(
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
@@ -53,6 +53,11 @@
 
 def _accept(state: DaemonState, returned: TokensReturned) -> list[Message]:
     organisation = find_organisation(state, returned.organisation)
-    if organisation is not None:
-        accept_returned(state, organisation, returned.count, returned.now)
-    return []
+    if organisation is None:
+        return []
+    if accept_returned(state, organisation, returned.count, returned.now):
+        return []
+    # The daemon that lent them stops, or this one has just started.
+    orders = refresh_view(state, returned.now, at_once=True)
+    accept_returned(state, organisation, returned.count, returned.now)
+    return orders
--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/shares.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/shares.py
@@ -16,7 +16,7 @@
     from dotterelgate_core.peers import Peer
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["ShareView", "update_shares"]
+__all__ = ["PAUSE_SECONDS", "ShareView", "update_shares"]
 
 UPDATE_INTERVAL_SECONDS = 0.2
 # A daemon that was not run for this long may have been replaced as lender meanwhile.
@@ -69,13 +69,13 @@
         return self.zone_part > HALF
 
 
-def update_shares(state: DaemonState, now: float) -> list[Decision]:
+def update_shares(state: DaemonState, now: float, *, at_once: bool = False) -> list[Decision]:
     """Update the view of the shares, at most at an interval.
 
     :returns: a line where the share changed
     """
     view = state.quotas.view
-    if now - view.updated_at < UPDATE_INTERVAL_SECONDS:
+    if not at_once and now - view.updated_at < UPDATE_INTERVAL_SECONDS:
         return []
     if view.started_at is None:
         view.started_at = now
