--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
@@ -51,7 +51,19 @@
 
 
 def _accept(state: DaemonState, returned: TokensReturned) -> list[Message]:
+<<<<<<< HEAD
     organisation = state.configuration.find_organisation(returned.organisation)
     if organisation is not None:
         accept_returned(state, organisation, returned.count, returned.now)
     return []
+=======
+    organisation = find_organisation(state, returned.organisation)
+    if organisation is None:
+        return []
+    if accept_returned(state, organisation, returned.count, returned.now):
+        return []
+    # The daemon that lent them stops, or this one has just started.
+    orders = refresh_view(state, returned.now, at_once=True)
+    accept_returned(state, organisation, returned.count, returned.now)
+    return orders
+>>>>>>> part-c
