--- a/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/allowances/lending.py
@@ -51,13 +51,7 @@
 
 
 def _accept(state: DaemonState, returned: TokensReturned) -> list[Message]:
-<<<<<<< HEAD
     organisation = state.configuration.find_organisation(returned.organisation)
-    if organisation is not None:
-        accept_returned(state, organisation, returned.count, returned.now)
-    return []
-=======
-    organisation = find_organisation(state, returned.organisation)
     if organisation is None:
         return []
     if accept_returned(state, organisation, returned.count, returned.now):
@@ -66,4 +60,3 @@
     orders = refresh_view(state, returned.now, at_once=True)
     accept_returned(state, organisation, returned.count, returned.now)
     return orders
->>>>>>> part-c
