Bring two test subjects in line with keys that are checked and attempts

Cause: after the merge a daemon without a recent read of the store refuses keys, and a call's server follows from its running attempts. Change: the subjects of home regions and of deadly requests say so.

--- a/features/subjects/deadly_requests.py
+++ b/features/subjects/deadly_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 from dotterelgate_core import codes, messages
@@ -81,8 +82,9 @@
         call_id, server, _ = self.send(requests[0])
         calls = [call_id]
         for each in requests[1:]:
-            beside, _, _ = self.send(each)
-            self.state.calls.states[beside].server = server
+            beside, other, _ = self.send(each)
+            running = self.state.calls.states[beside].running
+            running[server] = replace(running.pop(other), server=server)
             calls.append(beside)
         orders = [order for each in calls for order in self.break_connection(each, server)]
         assert find(orders, CheckServer) is not None, orders
--- a/features/subjects/home_regions.py
+++ b/features/subjects/home_regions.py
@@ -7,6 +7,7 @@
 from dotterelgate_core import messages
 from dotterelgate_core.organisations.credentials import digest_credential
 from dotterelgate_core.store_control import ConfigurationStored
+from dotterelgate_core.store_reading import StoreReadEnded
 from dotterelgate_platform.configurations import make_configuration_decoder
 from subjects.evacuations import evacuate
 from subjects.organisations import HOST, build_route
@@ -65,6 +66,8 @@
             outcomes.add(sent.server.name if sent else f"refused with {refused.refusal.code.name}")
             if sent:
                 self.now += 6.0
+                # Without a recent read, which keys are valid is not known for certain.
+                self.run_control(StoreReadEnded(now=self.now))
                 self.answer(self.next_id, sent.server.name)
         return outcomes
 
