Let time pass in ticks where home regions are tested

Cause: a jump of six seconds counts as a suspension, after which keys are not taken for checked. Change: the subject passes time in ticks and reads of the store.

--- a/features/subjects/home_regions.py
+++ b/features/subjects/home_regions.py
@@ -16,6 +16,8 @@
 REGIONS = {"north": "one", "east": "one", "south": "two"}
 ZONES = ("north", "east", "south", "west")
 SLOTS = 3
+TICKS = 6
+TICK_SECONDS = 1.0
 REVISION = 7
 
 
@@ -65,12 +67,17 @@
             sent, refused = find(orders, messages.Dispatch), find(orders, messages.RefuseCall)
             outcomes.add(sent.server.name if sent else f"refused with {refused.refusal.code.name}")
             if sent:
-                self.now += 6.0
-                # Without a recent read, which keys are valid is not known for certain.
-                self.run_control(StoreReadEnded(now=self.now))
+                self._pass_time()
                 self.answer(self.next_id, sent.server.name)
         return outcomes
 
+    def _pass_time(self):
+        """Let time go by, with ticks and reads of the store, without which keys are not checked."""
+        for _ in range(TICKS):
+            self.now += TICK_SECONDS
+            self.run_control(StoreReadEnded(now=self.now))
+            self.tick()
+
 
 ACTIONS = {
     "nothing happens": lambda daemon: None,
