Settle whatever waits when a daemon stops, by one account of it

Cause: the stop ended the process at its limit whatever was pending; no part of the pipeline knew that a call that waits must be dispatched before the stop, so calls kept waiting past the moment at which they could still be served.

Change: core package `stopping`. `find_awaited` says of every call in progress what it waits for; the stop asks it for what is left, and a filter asks it on each tick: what is not dispatched and no longer fits before the stop is refused as not run, at once. A slot that comes free or is granted is used only if the work fits at that server; retries, second attempts and admission ask the same. At the limit everything left gets a final answer: not run (202), or `cut_by_stop` (407, 502, outcome unknown) where a server had it; attempts whose connection is still being opened fail as unsent before (`FailUnsent`, now of both daemons). Owners that end deny what other daemons queued, and these turn to the next owner at once.

"The checks detect a daemon that does not wait" wanted a closed connection; it now wants 502 with code 407 and outcome unknown, which no other path gives.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -31,7 +31,7 @@
   Scenario: The checks detect a daemon that does not wait for requests in progress
     Given a system of 1 daemons and 2 backend servers whose daemons stop within 0 seconds
     When entry-1 is told to stop while a write of 3000 ms is in progress
-    Then the write was cut off
+    Then the write got no answer of its server, only that its outcome is unknown
 
   Scenario: The balancer still sends while a daemon begins to stop
     Given a system of 2 daemons and 2 backend servers
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -118,7 +118,7 @@
     caller = context.subject.connect()
     (connection,) = context.subject.context.connections
     caller.receive(encode_request(size=size) + make_body(sent))
-    body = connection._arriving.body
+    body = connection._requests.arriving.body
     assert body.held_bytes == sent
     caller.reset()
     assert body.held_bytes == 0
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -16,7 +16,6 @@
 from dotterelgate_border.datagrams import RegistryRequest, RegistryUpdate
 from dotterelgate_core import codes, messages
 from dotterelgate_core.configuration import Priority
-from dotterelgate_core.evacuations.applying import FailUnsent
 from dotterelgate_core.evacuations.returning import select_in_step
 from dotterelgate_core.slots import (
     DenySlot,
@@ -26,8 +25,9 @@
     SlotRequest,
     SlotRequested,
 )
-from dotterelgate_daemon.evacuating import fail_unsent
+from dotterelgate_core.unsent import FailUnsent
 from dotterelgate_daemon.store import StoreRecord
+from dotterelgate_daemon.unsent_attempts import fail_unsent
 
 STORE_TOPIC = "keyed.op"
 # A request that waits is refused after a quarter of its time limit, 500 ms here.
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -6,7 +6,7 @@
 from subjects.caller_connections import CallerConnections, encode_request
 from subjects.intake import NOW, Clients, Requests
 
-from dotterelgate_daemon.caller_connections import MAX_PIPELINED_REQUESTS
+from dotterelgate_core.pipelining import MAX_PIPELINED_REQUESTS
 from dotterelgate_daemon.intake.closing import compute_connection_limit, compute_least_rate
 from dotterelgate_daemon.intake.holdings import (
     Awaited,
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -4,12 +4,14 @@
 
 import time
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 
 from dotterelgate_border.handover import HandedCall
 from dotterelgate_core.configuration import Route
 from dotterelgate_core.pipelining import is_idempotent
 from dotterelgate_core.store_control import ConfigurationStored
+from dotterelgate_core.unsent import FailUnsent
 from dotterelgate_daemon.caller_connections import CallerConnection
 from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.dialect import DIALECT
@@ -20,6 +22,7 @@
 from dotterelgate_daemon.pools import PoolTable
 from dotterelgate_daemon.stopping import GracefulStop
 from dotterelgate_daemon.timers import PauseDetector
+from dotterelgate_daemon.unsent_attempts import fail_unsent
 from subjects.exchange import FakeStreams, OpenStream
 from subjects.store_daemon import StoreDaemon
 
@@ -109,6 +112,8 @@
         for number in range(servers):
             self.daemon.register(f"i-{number}", offset=number)
         self.timers = []
+        self.stop = None
+        self.ends = []
         self.streams = RecordingStreams()
         self.gateway = Gateway(
             name="front-1",
@@ -123,6 +128,7 @@
             on_decision=lambda decision, request_id: None,
             call_after=lambda *, delay, call: None,
         )
+        self.gateway.add_sinks({FailUnsent: partial(fail_unsent, self.gateway)})
         self.server = CallerServer(
             streams=self.streams,
             gateway=self.gateway,
@@ -145,8 +151,15 @@
 
     def stop_for(self, seconds, *, limit):
         """Stop as planned; returns whether the process ends after some seconds."""
-        ended = []
-        stop = GracefulStop(
+        self.begin_stop(limit=limit)
+        return self.check_stop(seconds)
+
+    def begin_stop(self, *, limit):
+        """Let a planned stop begin, as SIGTERM does; the first one counts."""
+        if self.stop is not None:
+            self.stop.begin()
+            return
+        self.stop = GracefulStop(
             linger=0.0,
             limit=limit,
             state=self.daemon.state,
@@ -157,12 +170,21 @@
                 call_after=lambda *, delay, call: call(),
             ),
             announce_stopping=lambda: None,
-            finish=lambda: ended.append(True),
+            finish=lambda: self.ends.append(True),
         )
-        stop.begin()
-        stop._started_at -= seconds
-        stop._check()
-        return bool(ended)
+        self.stop.begin()
+        self.stop_began_at = self.stop._started_at
+        self.planned_stop = self.daemon.state.stop
+
+    def check_stop(self, seconds):
+        """Let a stop have lasted some seconds; returns whether the process ends."""
+        self.stop._started_at = self.stop_began_at - seconds
+        planned = self.planned_stop
+        self.daemon.state.stop = replace(
+            planned, late_at=planned.late_at - seconds, ends_at=planned.ends_at - seconds
+        )
+        self.stop._check()
+        return bool(self.ends)
 
     def add_general_route(self):
         """Put a configuration in force that has a route for any path, too."""
--- a/features/subjects/store_daemon.py
+++ b/features/subjects/store_daemon.py
@@ -63,6 +63,7 @@
         attempts=2,
         target=0.2,
         timeout=0.5,
+        write_timeout=0.5,
         organisations=None,
     ):
         """Put a configuration in force, with a read, a write, a bulk and a split route."""
@@ -74,7 +75,7 @@
                 target=target,
                 attempts=attempts,
             ),
-            Route(prefix="/write/", idempotent=False, timeout=0.5, target=target),
+            Route(prefix="/write/", idempotent=False, timeout=write_timeout, target=target),
             Route(prefix="/bulk/", idempotent=True, timeout=timeout, target=target, is_bulk=True),
             Route(
                 prefix="/split/",
--- a/packages/dotterelgate-core/src/dotterelgate_core/admission.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/admission.py
@@ -12,6 +12,7 @@
 from dotterelgate_core.messages import CallRouted, CallSettled, Decision, SlotFreed, Ticked
 from dotterelgate_core.retry_after import choose_retry_after
 from dotterelgate_core.sharing import list_freed_slots
+from dotterelgate_core.stopping.fitting import fits_stop, refuse_for_stop
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -98,6 +99,8 @@
     allowed = min(service.queue_limit, routed.deadline - routed.now)
     if policy.shared:
         allowed = _compute_wait_limit(state, call_state)
+    if not fits_stop(state, call_state, routed.now + wait):
+        return refuse_for_stop(call_state, "the daemon stops before it can be served")
     if wait <= allowed:
         return None
     reason = f"the expected wait of {wait * 1000:.0f} ms is too long"
--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -19,6 +19,8 @@
     SlotRequest,
     WithdrawSlot,
 )
+from dotterelgate_core.stopping.awaiting import Awaited
+from dotterelgate_core.stopping.fitting import fits_stop, settle_unfit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -154,6 +156,10 @@
         state.servers.changed.add(name)
         return _request_another(state, asking, pending, call_state, name, granted.now)
     del asking.requests[granted.call_id]
+    if not fits_stop(state, call_state, granted.now, slowdown=granted.grant.slowdown):
+        # The owner counts the slot as used; the next load update corrects it.
+        state.servers.changed.add(name)
+        return settle_unfit(call_state, Awaited.SLOT, granted.now)
     facts = {
         "owner": granted.owner,
         "slowdown": granted.grant.slowdown,
@@ -184,8 +190,8 @@
     call_state = state.calls.states.get(denied.call_id)
     if pending is None or call_state is None or call_state.server is not None:
         return []
-    if denied.refusal.code in (codes.NO_CONFIGURATION, codes.NO_SERVER):
-        # This daemon has a route and backend servers; the owner has older data.
+    if denied.refusal.code in (codes.NO_CONFIGURATION, codes.NO_SERVER, codes.STOPPING):
+        # This daemon has a route and backend servers; the owner has older data, or ends.
         return _skip_owner(asking, call_state, denied.now, denied.refusal.reason)
     del asking.requests[denied.call_id]
     call_state.queued = False
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -20,6 +20,8 @@
 )
 from dotterelgate_core.retry_after import choose_retry_after
 from dotterelgate_core.slots import GrantSlot, SlotGrant
+from dotterelgate_core.stopping.awaiting import Awaited
+from dotterelgate_core.stopping.fitting import fits_stop, settle_unfit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -84,7 +86,10 @@
     chosen = policy.choose(candidates, call_state, freed.now)
     if chosen is None:
         return []
+    slowdown = chosen.view.estimate_slowdown(freed.now, 1.0)
     subqueue.take(waiting)
+    if not fits_stop(state, call_state, freed.now, slowdown=slowdown):
+        return settle_unfit(call_state, Awaited.SLOT, freed.now)
     chosen.chosen_at = freed.now
     use_allowance(chosen, freed.now)
     if call_state.requester is not None:
@@ -94,7 +99,7 @@
         call_state,
         chosen,
         freed.now,
-        slowdown=chosen.view.estimate_slowdown(freed.now, 1.0),
+        slowdown=slowdown,
         facts=list_report(chosen, freed.now),
     )
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/calls.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/calls.py
@@ -119,10 +119,6 @@
         """
         return self.attempts < (self.routed.route.attempts or default)
 
-    def has_time(self, now: float) -> bool:
-        """Return whether a dispatch now is expected to be answered before the deadline."""
-        return now + self.work + CALLER_NETWORK_SECONDS <= self.routed.deadline
-
     def describe_organisation(self) -> dict[str, object]:
         """Name the caller's organisation, if any, as facts of a log line."""
         return {"organisation": self.organisation_name} if self.organisation_name else {}
--- a/packages/dotterelgate-core/src/dotterelgate_core/codes.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/codes.py
@@ -186,6 +186,9 @@
 UNPROVEN_REFUSAL = ResultCode(
     406, "unproven_refusal", 502, _UNKNOWN, "A server refused a write, which may have run."
 )
+CUT_BY_STOP = ResultCode(
+    407, "cut_by_stop", 502, _UNKNOWN, "The daemon stopped before the answer was complete."
+)
 
 RESULT_CODES = tuple(value for value in list(globals().values()) if isinstance(value, ResultCode))
 CODES_BY_NUMBER = {code.number: code for code in RESULT_CODES}
--- a/packages/dotterelgate-core/src/dotterelgate_core/engine.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/engine.py
@@ -28,6 +28,7 @@
 from dotterelgate_core.policies import make_policies
 from dotterelgate_core.routes import make_route_filter
 from dotterelgate_core.settling import make_settling_filter
+from dotterelgate_core.stopping.settling import make_stop_filter
 from dotterelgate_core.suspecting import make_evidence_filter, make_suspect_filter
 
 if TYPE_CHECKING:
@@ -56,11 +57,11 @@
     ``PeerAnswered``, ``PeerFailed``, ``RelayBegan``, ``SlotFreed``, ``SlotRequested``,
     ``SlotGranted``, ``SlotQueued``, ``SlotDenied``, ``SlotWithdrawn``, ``ServerEnded``,
     ``SuspectsReceived``, ``SuspectCleared``, ``ServersEvacuated``, ``CredentialsChanged``,
-    ``TokensRequested``, ``TokensLent``, ``TokensReturned`` and ``Ticked``. It emits ``Dispatch``,
-    ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``, ``GrantSlot``, ``QueueSlot``,
-    ``DenySlot``, ``WithdrawSlot``, ``CheckServer``, ``AnnounceSuspects``, ``BorrowTokens``,
-    ``LendTokens``, ``ReturnTokens``, ``QuotaApplied``, ``CountSecondAttempt``, ``TickAt``,
-    ``FailUnsent``, ``RefuseCall`` and ``Decision``.
+    ``TokensRequested``, ``TokensLent``, ``TokensReturned``, ``StopReached`` and ``Ticked``. It
+    emits ``Dispatch``, ``Forward``, ``Cancel``, ``Relay``, ``Replay``, ``RequestSlot``,
+    ``GrantSlot``, ``QueueSlot``, ``DenySlot``, ``WithdrawSlot``, ``CheckServer``,
+    ``AnnounceSuspects``, ``BorrowTokens``, ``LendTokens``, ``ReturnTokens``, ``QuotaApplied``,
+    ``CountSecondAttempt``, ``TickAt``, ``FailUnsent``, ``RefuseCall`` and ``Decision``.
 
     :param state: the daemon's state
     :param random: source of random choices between equal backend servers
@@ -84,6 +85,7 @@
         *evidence_filters,
         make_observing_filter(state),
         make_settling_filter(state),
+        make_stop_filter(state),
         make_relay_filter(state),
         make_identity_filter(state, reading),
         *quota_filters,
--- a/packages/dotterelgate-core/src/dotterelgate_core/evacuations/applying.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/evacuations/applying.py
@@ -16,7 +16,7 @@
     from dotterelgate_core.servers import ServerState
     from dotterelgate_core.state import DaemonState
 
-__all__ = ["EvacuationsRead", "FailUnsent", "ServersEvacuated", "make_evacuation_filter"]
+__all__ = ["EvacuationsRead", "ServersEvacuated", "make_evacuation_filter"]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,18 +41,6 @@
     services: frozenset[str]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FailUnsent:
-    """Order to fail those of some attempts of which nothing was sent, since their servers left.
-
-    A connection that is being opened would carry the request whenever it comes about.
-
-    :param attempts: id of the call and name of the backend server of each
-    """
-
-    attempts: tuple[tuple[int, str], ...]
-
-
 def make_evacuation_filter(state: DaemonState) -> Filter:
     """Build the filter that applies the lists of evacuated zones to the backend servers."""
 
--- a/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/evacuations/refusing.py
@@ -6,10 +6,11 @@
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.evacuations.applying import FailUnsent, ServersEvacuated
+from dotterelgate_core.evacuations.applying import ServersEvacuated
 from dotterelgate_core.homes.restricting import is_at_home
 from dotterelgate_core.messages import CallRouted, CallSettled, Decision
 from dotterelgate_core.retry_after import choose_ranked_retry_after
+from dotterelgate_core.unsent import FailUnsent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -57,7 +58,8 @@
         for name in call_state.running
         if name in servers and servers[name].is_evacuated
     )
-    return [FailUnsent(attempts=attempts)] if attempts else []
+    reason = "its zone was evacuated before it accepted"
+    return [FailUnsent(attempts=attempts, reason=reason)] if attempts else []
 
 
 def _is_without_server(state: DaemonState, call_state: CallState, now: float) -> bool:
--- a/packages/dotterelgate-core/src/dotterelgate_core/hedging/starting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/hedging/starting.py
@@ -24,6 +24,7 @@
     SlotRequested,
     WithdrawSlot,
 )
+from dotterelgate_core.stopping.fitting import has_time
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -77,7 +78,7 @@
 
 def _may_start(state: DaemonState, call_state: CallState, now: float) -> bool:
     is_open = not call_state.has_second and may_have_second(state, call_state)
-    return is_open and call_state.has_time(now)
+    return is_open and has_time(state, call_state, now)
 
 
 def _start_if_slow(
@@ -168,7 +169,7 @@
     problem = ""
     if call_state is None or not may_have_second(state, call_state):
         problem = "the grant came after the call or its first attempt had ended"
-    elif not call_state.has_time(now):
+    elif not has_time(state, call_state, now):
         problem = "the grant came too late for the time limit"
     elif server is None or not accepts_second(server, now):
         problem = f"{grant.server} was granted and cannot be used"
--- a/packages/dotterelgate-core/src/dotterelgate_core/hedging/watching.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/hedging/watching.py
@@ -6,6 +6,7 @@
 
 from dotterelgate_core.hedging.second_attempts import TickAt
 from dotterelgate_core.messages import Dispatch
+from dotterelgate_core.stopping.fitting import has_time
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -85,7 +86,7 @@
     if call_state.has_second or not may_have_second(state, call_state):
         return []
     due = compute_due(state, call_state, attempt.sent_at)
-    if due is None or not call_state.has_time(due):
+    if due is None or not has_time(state, call_state, due):
         return []
     state.hedging.add_due(order.call_id, due)
     return order_tick(state)
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -25,6 +25,7 @@
 )
 from dotterelgate_core.retry_after import choose_retry_after
 from dotterelgate_core.statuses import promises_not_run
+from dotterelgate_core.stopping.fitting import has_time
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -176,8 +177,8 @@
         return False
     if routed.call.streamed or call_state.caller_disconnected and call_state.digest is None:
         return False
-    if not call_state.has_time(now):
-        # A retry would end after the deadline: report this outcome while the caller waits.
+    if not has_time(state, call_state, now):
+        # A retry would end too late: report this outcome while the caller waits.
         return False
     return state.retries.find(routed.service.name, routed.service.retry_share).spend()
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/caller_connections.py
@@ -3,24 +3,17 @@
 from __future__ import annotations
 
 import time
-from collections import deque
-from itertools import islice
 from typing import TYPE_CHECKING
 
 from dotterelgate_core import codes
 from dotterelgate_core.codes import Refusal
-from dotterelgate_core.pipelining import (
-    MAX_HELD_BYTES,
-    MAX_PIPELINED_REQUESTS,
-    PipelinedRequest,
-    find_startable,
-)
 from dotterelgate_daemon.caller_responses import CallerResponse
 from dotterelgate_daemon.codec import CONTINUE
 from dotterelgate_daemon.incoming_requests import IncomingRequest
 from dotterelgate_daemon.intake.watching import ConnectionWatch, RequestLoad
 from dotterelgate_daemon.lingering import close_in_steps
 from dotterelgate_daemon.pending_calls import PendingCall
+from dotterelgate_daemon.request_queue import RequestQueue
 from dotterelgate_daemon.request_reader import RequestReader
 
 if TYPE_CHECKING:
@@ -51,8 +44,7 @@
         )
         self._stream.drained = self._resume_answer
         self._stream.closed = self._free
-        self._requests: deque[IncomingRequest] = deque()
-        self._arriving: IncomingRequest | None = None
+        self._requests = RequestQueue(context)
         self._refusal: Refusal | None = None
         self._unread_wait = 0.0
         self._is_closing = False
@@ -65,7 +57,7 @@
             end=self._end_body,
             refuse=self._refuse_invalid,
             find_limits=context.find_head_limits,
-            is_blocked=self._is_full,
+            is_blocked=self._requests.is_full,
         )
         self._watch = ConnectionWatch(
             intake=context.intake,
@@ -84,23 +76,39 @@
 
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or may be in transit."""
-        if time.monotonic() - self.idle_since < TRANSIT_SECONDS:
+        if self._requests or self._is_closing:
             return
-        if not self._requests and not self._is_closing:
-            self._is_closing = True
-            self._stream.close_when_sent()
-            self._watch.note_held()
+        now = time.monotonic()
+        if self._stream.is_sending:
+            self.idle_since = now
+        if now - self.idle_since >= TRANSIT_SECONDS:
+            self._close()
+
+    def end(self) -> None:
+        """Refuse a request that is still arriving and was not passed on, and close.
+
+        Responses that were written are sent first.
+        """
+        if self._is_closing or not self._stream.is_open:
+            return
+        arriving = self._requests.arriving
+        is_unstarted = arriving is not None and not arriving.is_started
+        if is_unstarted or self._reader.is_in_head:
+            self._reader.discard()
+            self._refuse_arriving(Refusal(codes.STOPPING, "the daemon stops"))
+        elif not self._requests:
+            self._close()
 
     def _free(self) -> None:
         self._context.connections.discard(self)
-        self._arriving = None
+        self._requests.arriving = None
         self._watch.free()
 
     def _describe_load(self) -> RequestLoad:
         return RequestLoad(
-            held=sum(each.held_bytes for each in self._requests),
-            has_body=self._arriving is not None and not self._is_closing,
-            has_request=any(each.is_started for each in self._requests),
+            held=self._requests.held_bytes,
+            has_body=self._requests.arriving is not None and not self._is_closing,
+            has_request=self._requests.has_started(),
             is_closing=self._is_closing,
         )
 
@@ -108,7 +116,7 @@
         self._watch.note_received(len(data))
         self._unread_wait = self._context.pause_detector.measure()
         self._reader.feed(data)
-        if self._is_full() and not self._is_closing:
+        if self._requests.is_full() and not self._is_closing:
             self._stream.pause()
         self._watch.note_held()
 
@@ -116,17 +124,16 @@
         # Bytes that were not read, of this request or of later ones, would reset the connection.
         self._is_closing = True
         self._drop_requests()
-        if self._arriving is not None:
-            self._arriving.body.discard()
-            self._arriving = None
+        if self._requests.arriving is not None:
+            self._requests.arriving.body.discard()
+            self._requests.arriving = None
         self._reader.discard()
         close_in_steps(self._stream, call_after=self._context.call_after)
         self._watch.note_held()
 
     def _drop_requests(self) -> None:
         """Cancel the requests that were passed on, and forget the others."""
-        requests, self._requests = self._requests, deque()
-        for each in requests:
+        for each in self._requests.pop_all():
             if each.pending is not None and not each.response.has_ended:
                 self._context.gateway.note_disconnect(each.pending.call.id)
             elif not each.is_started:
@@ -148,37 +155,32 @@
                 dialect=self._context.gateway.dialect,
                 stream=self._stream,
                 must_close=lambda: self._must_close(request),
-                may_hold=lambda: self._count_held() <= MAX_HELD_BYTES,
+                may_hold=lambda: self._requests.may_hold,
                 changed=self._advance,
                 written=self._watch.note_held,
             ),
         )
-        self._arriving = request
+        self._requests.arriving = request
         if not self._is_closing:
-            self._requests.append(request)
+            self._requests.add(request)
         self._advance()
 
     def _receive_body(self, part: bytes) -> None:
-        arriving = self._arriving
+        arriving = self._requests.arriving
         if arriving is None or self._is_closing:
             return
         arriving.body.add(part)
-        if not arriving.is_started and self._is_ready(arriving):
-            self._note_ready(arriving)
+        if not arriving.is_started and self._requests.is_ready(arriving):
+            self._requests.note_ready(arriving)
             self._advance()
 
     def _end_body(self) -> None:
-        arriving, self._arriving = self._arriving, None
+        arriving, self._requests.arriving = self._requests.arriving, None
         if arriving is not None:
             arriving.body.end()
-            self._note_ready(arriving)
+            self._requests.note_ready(arriving)
         self._advance()
 
-    @staticmethod
-    def _note_ready(request: IncomingRequest) -> None:
-        if request.ready_at is None:
-            request.ready_at = time.monotonic()
-
     def _refuse_invalid(self, code: ResultCode, reason: str) -> None:
         if code is codes.HEAD_TOO_LARGE:
             self._context.intake.note_closed("head")
@@ -186,15 +188,12 @@
 
     def _refuse_arriving(self, refusal: Refusal) -> None:
         self._refusal = refusal
-        arriving = self._arriving
+        arriving = self._requests.arriving
         if arriving is not None and arriving.is_started:
             self._stream.close()
             self._drop_requests()
             return
-        if arriving is not None and arriving in self._requests:
-            self._requests.remove(arriving)
-            arriving.body.discard()
-            arriving.response.free()
+        self._requests.drop_arriving()
         self._advance()
 
     def _advance(self) -> None:
@@ -216,49 +215,28 @@
         if not self._requests:
             self._answer_refusal()
             return
-        first = self._requests[0]
+        first = self._requests.first
         if first.head.expects_continue and not first.is_continued and not first.body.is_complete:
             first.is_continued = True
             self._stream.write(CONTINUE)
 
     def _step(self) -> bool:
         if self._requests:
-            first = self._requests[0]
+            first = self._requests.first
             if first.response.take_turn() and first.pending is not None:
                 self._context.gateway.resume_answer(first.pending.call.id)
             if first.response.has_ended:
-                self._finish(self._requests.popleft())
+                self._finish(self._requests.pop_first())
                 return True
-        ahead = list(islice(self._requests, MAX_PIPELINED_REQUESTS))
-        described = [self._describe(each, is_first=each is ahead[0]) for each in ahead]
-        index = find_startable(described, held_bytes=self._count_held())
-        if index is None or self._stream.is_full:
+        startable = self._requests.find_startable()
+        if startable is None or self._stream.is_full:
             return False
-        self._start(ahead[index])
+        self._start(startable)
         return True
 
-    def _describe(self, request: IncomingRequest, *, is_first: bool) -> PipelinedRequest:
-        is_ready = self._is_ready(request) if is_first else request.body.is_complete
-        if request.call is None and is_ready:
-            request.call = request.build_call(
-                gateway=self._context.gateway, body_limit=self._context.body_limit
-            )
-            if not isinstance(request.call, Refusal):
-                request.is_idempotent = self._context.is_idempotent(request.call)
-        return PipelinedRequest(
-            is_ready=is_ready,
-            is_whole=request.body.is_complete,
-            is_idempotent=request.is_idempotent or isinstance(request.call, Refusal),
-            is_started=request.is_started,
-            closes=request.response.closes,
-        )
-
-    def _is_ready(self, request: IncomingRequest) -> bool:
-        return request.body.is_complete or request.body.held_bytes > self._context.body_limit
-
     def _finish(self, request: IncomingRequest) -> None:
         self.idle_since = time.monotonic()
-        closes = request.response.closes or self._must_close(request)
+        closes = request.response.closes
         request.response.free()
         if closes:
             self._close()
@@ -269,10 +247,7 @@
         if not self._context.is_stopping:
             return False
         # A stop cuts off no request that was passed on.
-        return not any(each.is_started for each in self._requests if each is not request)
-
-    def _count_held(self) -> int:
-        return sum(each.response.held_bytes for each in self._requests)
+        return not self._requests.has_started_behind(request)
 
     def _answer_refusal(self) -> None:
         if self._refusal is None:
@@ -316,24 +291,14 @@
         )
         self._context.gateway.admit(request.pending)
 
-    def _is_full(self) -> bool:
-        """Return whether reading should pause."""
-        if len(self._requests) >= MAX_PIPELINED_REQUESTS:
-            return True
-        arriving = self._arriving
-        if arriving is not None and arriving.pending is not None:
-            return self._context.gateway.is_body_full(arriving.pending)
-        unstarted = (each.body.held_bytes for each in self._requests if not each.is_started)
-        return sum(unstarted) > self._context.body_limit
-
     def _resume_reading(self) -> None:
-        if not self._is_full():
+        if not self._requests.is_full():
             self._reader.resume()
-        if not self._is_full():
+        if not self._requests.is_full():
             self._stream.resume()
         self._watch.note_held()
 
     def _resume_answer(self) -> None:
         self._advance()
-        if self._requests and self._requests[0].pending is not None:
-            self._context.gateway.resume_answer(self._requests[0].pending.call.id)
+        if self._requests and self._requests.first.pending is not None:
+            self._context.gateway.resume_answer(self._requests.first.pending.call.id)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -103,6 +103,11 @@
         for connection in list(self._context.connections):
             connection.close_if_idle()
 
+    def end_connections(self) -> None:
+        """Refuse the requests that are still arriving, and close the connections."""
+        for connection in list(self._context.connections):
+            connection.end()
+
     def close_idle(self, *, older_than: float) -> None:
         """Close connections idle since before a monotonic second."""
         for connection in list(self._context.connections):
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -6,9 +6,11 @@
 import resource
 import time
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from dotterelgate_core.pipelining import is_idempotent
+from dotterelgate_core.unsent import FailUnsent
 from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.gateway import Gateway
 from dotterelgate_daemon.intake.closing import compute_connection_limit, compute_least_rate
@@ -20,6 +22,7 @@
 from dotterelgate_daemon.pools import PoolTable
 from dotterelgate_daemon.streams import StreamService
 from dotterelgate_daemon.timers import PauseDetector, TimerService
+from dotterelgate_daemon.unsent_attempts import fail_unsent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -93,6 +96,7 @@
         on_decision=write_decision,
         call_after=timers.call_after,
     )
+    gateway.add_sinks({FailUnsent: partial(fail_unsent, gateway)})
     metrics.in_flight.set_function(lambda: len(gateway.pending))
     limits = _build_intake_limits(settings)
     caller_server = CallerServer(
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/stopping.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/stopping.py
@@ -8,6 +8,8 @@
 import structlog
 
 from dotterelgate_core.state import PlannedStop
+from dotterelgate_core.stopping.awaiting import Awaited, count_awaited
+from dotterelgate_core.stopping.settling import StopReached
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +38,9 @@
 
     Callers are served while the platform's balancer still sends them; then the
     listener closes; then requests in progress end, their responses leave the
-    process, and every leased range is handed over; then the process ends.
+    process, and every leased range is handed over; then the process ends. Requests that no longer
+    fit are refused by the pipeline as soon as that is known; what is in progress at the limit gets
+    a final answer.
 
     :param linger: seconds for which the balancer may still send callers
     :param limit: seconds until the process has ended, regardless of what is in progress
@@ -107,6 +111,9 @@
             return
         if remaining:
             logger.warning("stopping: the limit is reached", left=remaining)
+        self._gateway.tick()
+        self._gateway.run(StopReached(now=time.monotonic()))
+        self._caller_server.end_connections()
         # Answers to peers and callers may still be buffered in the process.
         self._timers.call_after(delay=FLUSH_SECONDS, call=self._end)
         self._is_ending = True
@@ -116,9 +123,11 @@
         self._finish()
 
     def _list_remaining(self) -> list[str]:
-        remaining = []
-        if self._gateway.pending:
-            remaining.append(f"{len(self._gateway.pending)} requests in progress")
+        remaining = [
+            f"{count} requests that wait for {awaited.value}"
+            for awaited, count in count_awaited(self._state).items()
+            if awaited is not Awaited.GRANT
+        ]
         if self._caller_server.count_active():
             self._caller_server.close()
         connections = self._caller_server.count_active()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store_assembly.py
@@ -12,7 +12,7 @@
 
 from dotterelgate_core.control_messages import ConfigurationChanged, ControlTicked, Probe
 from dotterelgate_core.engine import make_request_pipeline
-from dotterelgate_core.evacuations.applying import FailUnsent, ServersEvacuated
+from dotterelgate_core.evacuations.applying import ServersEvacuated
 from dotterelgate_core.heartbeats import HEARTBEAT_SECONDS
 from dotterelgate_core.keys import KeyTable
 from dotterelgate_core.leases import LeaseTable
@@ -31,7 +31,6 @@
 from dotterelgate_daemon.configuration_following import ConfigurationFollower
 from dotterelgate_daemon.directory import DaemonDirectory
 from dotterelgate_daemon.endpoint import Endpoint, serve_endpoint
-from dotterelgate_daemon.evacuating import fail_unsent
 from dotterelgate_daemon.explanation import describe_common, explain_route
 from dotterelgate_daemon.keyed_reading import StoreAccess
 from dotterelgate_daemon.mesh import Mesh
@@ -306,7 +305,6 @@
         random=random.Random(),
     )
     base.gateway.add_sinks(suspects.sinks)
-    base.gateway.add_sinks({FailUnsent: partial(fail_unsent, base.gateway)})
     base.timers.subscribe(interval=REMINDER_SECONDS, call=suspects.remind)
     quotas = QuotaExchange(state=state, mesh=mesh, metrics=base.metrics, emit=base.gateway.run)
     base.gateway.add_sinks(quotas.sinks)
