Take only 100 to 599 for a status in an answer

Cause: the parser takes any three digits, and the reader only asked whether a status is below 200.

Change: one check in the reader of answers, before it asks whose answer it is; so it holds for answers to callers, status checks and the platform's services alike. Anything else is an invalid answer: reads go to another server, writes get 502 at once.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -107,6 +107,40 @@
       | on the way | 5.6     | ends          |
       | received   | 4.0     | ends          |
 
+  # Statuses from 600 on reached callers as answers; below 100 they were taken for interim
+  # answers, and callers waited for another until their time limit (MIXED).
+  Scenario Outline: A server's answer with the status <status> is no answer to a <kind>
+    Given a daemon with 2 backend servers on fake connections
+    When a server answers a <kind> with the status <status>
+    Then the caller is told <given>, and the server's connection is closed
+
+    Examples:
+      | status | kind  | given |
+      | 000    | write | 502   |
+      | 001    | write | 502   |
+      | 099    | write | 502   |
+      | 600    | write | 502   |
+      | 700    | write | 502   |
+      | 999    | write | 502   |
+      | 20     | write | 502   |
+      | 1000   | write | 502   |
+      | 0200   | write | 502   |
+      | 101    | write | 502   |
+      | 000    | read  | 200   |
+      | 600    | read  | 200   |
+
+  Scenario Outline: A server's answer with the status <status> is passed on
+    Given a daemon with 2 backend servers on fake connections
+    When a server answers a write with the status <status>
+    Then the caller is told <status>
+    And nothing is kept of it
+
+    Examples:
+      | status |
+      | 200    |
+      | 404    |
+      | 599    |
+
   # The next request on such a connection got no response until its time limit.
   Scenario: A connection that was paused for a slow caller is read again for the next one
     Given a daemon with 1 backend servers on fake connections
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -266,19 +266,3 @@
     assert context.server.is_open
     assert not context.server.is_paused
     check_nothing_kept(context)
-
-
-@when("the only server answers a {kind} with {status:d} {stating} and {size:d} bytes")
-def answer_status(context, kind, status, stating, size):
-    context.caller = context.subject.connect()
-    context.caller.receive(encode_request(path=PATHS[kind]))
-    server, ready = context.subject.take_opened()
-    ready()
-    outcome = b"Request-Outcome: not-run\r\n" if "did not run" in stating else b""
-    head = b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n" % (status, outcome, size)
-    server.receive(head + bytes(size))
-
-
-@then("the caller is told {status:d}")
-def check_told(context, status):
-    assert context.caller.written.startswith(b"HTTP/1.1 %d" % status), context.caller.written
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
@@ -44,6 +44,8 @@
         b"content-length",
     )
 )
+# RFC 9110, section 15: the first digit is 1 to 5; the parser takes any three digits.
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = (204, 304)
 # A field's cost beside its bytes, as HTTP/2 counts it (RFC 9113, 6.5.2); it keeps many short
@@ -156,7 +158,12 @@
         if self._parser is None:
             return
         status = self._parser.get_status_code()
-        if self._is_complete or self.problem or status < _FIRST_FINAL_STATUS:
+        if self._is_complete or self.problem:
+            return
+        if status not in _STATUSES:
+            self._note_problem(f"{status:03d} is not a status")
+            return
+        if status < _FIRST_FINAL_STATUS:
             return
         if not self._matches_request(self._headers):
             self._is_mismatched = True
