Bound what is read of status checks, peers, listings and chunk framing

What operators saw elsewhere: a backend server sent bytes without end and the daemon that had called it kept reading them, at the cost of the callers on its one loop. Measured here before: memory stays flat for callers' answers, but a status check whose body never ends was read until its time-out, 1.6 GB a check.

Cause: only answers to callers and answers of the platform's services had a bound; each reader had to bring its own, so those that discard or collect what they read had none.

Change: `Exchange` has one bound on the bytes of an answer's body, used by status checks (65,536) and the platform's services (the setting); bodies that are relayed have none, since their reader sets the pace. Framing of chunks counts as bytes beside the body beyond 16 for each byte of it. Listings of the store: each page must go on behind the last key, 50,000 keys in all. Requests to the status pages: bodies of 1 MiB.

Looked at and bounded before: heads, trailers and interim answers (65,536 and 262,144 bytes), datagrams (65,507 bytes, 4 MB decompressed), messages over pynng (`recv_max_size`), answers of the store, the log and the list of VMs (`platform_answer_limit`), callers (docs/operators/limits).

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -15,6 +15,7 @@
       | header lines without end          |
       | a header line without end         |
       | trailers without end              |
+      | chunk extensions without end      |
       | interim answers without end       |
       | another answer's body without end |
       | a refusal's body without end      |
@@ -25,6 +26,53 @@
     Then each ran once, and no caller got a whole answer
     And front-1 stayed below 200 MB and serves the next request
 
+  # A status check was read until its time-out, 1.6 GB a check, on the loop that serves callers.
+  Scenario: A status check whose body has no end is ended early
+    Given the platform with 1 backend servers and 1 daemon
+    When the next status check gets a status check's body without end
+    Then front-1 closed the status check within 4 MB
+    And a request to its own status pages with a body of 3 MB is cut off
+    And front-1 stayed below 200 MB and serves the next request
+
+  Scenario Outline: A body of <size> bytes is read by who asked for at most 1000
+    Given an exchange whose answer's body is limited to 1000 bytes
+    When an answer <framed> with <size> bytes arrives in parts of <part>
+    Then the exchange is <outcome>
+
+    Examples:
+      | size  | framed        | part | outcome  |
+      | 1000  | with a length | 100  | complete |
+      | 1001  | with a length | 100  | refused  |
+      | 1000  | in chunks     | 1    | complete |
+      | 1001  | in chunks     | 1    | refused  |
+      | 1000  | in chunks     | 2000 | complete |
+      | 90000 | in chunks     | 2000 | refused  |
+
+  # A peer's parts were collected without a bound, and decompressed to any size.
+  Scenario Outline: Of a peer that sends <what>, at most <megabytes> MB are kept
+    Given the parts of configurations that peers send
+    When a peer sends <what>
+    Then at most <megabytes> MB are kept, and a sound configuration is read next
+
+    Examples:
+      | what                                  | megabytes |
+      | parts of ever newer configurations    | 1         |
+      | parts with ever higher numbers        | 1         |
+      | a part behind the last one            | 1         |
+      | a part of 200 MB of zeros, compressed | 1         |
+      | parts under ever other names          | 1         |
+
+  # The store or what answers in its place may never end a listing.
+  Scenario Outline: A listing of the store that <goes on> ends with a failure
+    Given a reader of a topic whose store answers pages that <goes on>
+    When it reads
+    Then the read fails after at most 51000 keys
+
+    Examples:
+      | goes on                   |
+      | repeat the last key       |
+      | have ever further keys    |
+
   # The store may be as broken as a backend server.
   Scenario: An answer of a platform service that exceeds its limit is not collected
     Given a platform client whose answers are limited to 100000 bytes
--- a/features/subjects/broken_answers.py
+++ b/features/subjects/broken_answers.py
@@ -58,7 +58,10 @@
 class BrokenAnswers:
     """A pool and one exchange on a new or a kept connection."""
 
-    def __init__(self, *, kept: bool = False, names: bool = True) -> None:
+    def __init__(
+        self, *, kept: bool = False, names: bool = True, body_limit: int | None = None
+    ) -> None:
+        self.body_limit = body_limit
         self.streams = FakeStreams()
         self.pool = PoolTable(streams=self.streams).find(ADDRESS, limit=10)
         self.names = names
@@ -102,6 +105,7 @@
             matches_request=matches,
             allows_close_delimited=True,
             request_id=request_id if self.names else "",
+            body_limit=self.body_limit,
         )
         self.pool.run(self.exchange, fresh=False)
         return bool(self.streams.establish())
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
@@ -23,6 +23,7 @@
 
 PROBE_WORK_SECONDS = 0.006
 NEW_CONNECTION_SECONDS = 0.001
+BODY_LIMIT_BYTES = 268_435_456
 NOT_RUN = (b"request-outcome", b"not-run")
 
 
@@ -78,7 +79,12 @@
         self._random = Random(self.seed)
         self._started = time.monotonic()
         self._used_connections: set[int] = set()
-        self._server = HttpServer(streams=self.streams, address=self.address, answer=self._answer)
+        self._server = HttpServer(
+            streams=self.streams,
+            address=self.address,
+            answer=self._answer,
+            body_limit=BODY_LIMIT_BYTES,
+        )
 
     def _answer(self, request: HttpRequest) -> None:
         if request.path == "/_faults":
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/codec.py
@@ -52,9 +52,11 @@
 # fields from taking far more memory than their bytes.
 FIELD_OVERHEAD_BYTES = 32
 ANSWER_HEAD_LIMIT_BYTES = 65_536
-# Bytes read without any of the expected answer's body among them: its head, interim answers,
-# answers to other requests, trailers.
+# Bytes read beside the expected answer's body: its head, interim answers, answers to other
+# requests, trailers, and the framing of chunks beyond what the chunks allow for.
 UNEXPECTED_LIMIT_BYTES = 262_144
+# Framing that each byte of a body allows for; a chunk of one byte takes five beside it.
+FRAMING_BYTES = 16
 MAX_SKIPPED_ANSWERS = 8
 
 
@@ -127,7 +129,7 @@
             self.may_reuse = False
             self._note_problem(str(error) or "not a valid answer")
         if self._unexpected_bytes > UNEXPECTED_LIMIT_BYTES:
-            self._note_problem(f"{UNEXPECTED_LIMIT_BYTES} bytes without the expected answer")
+            self._note_problem(f"{UNEXPECTED_LIMIT_BYTES} bytes that are no part of its body")
 
     def discard(self) -> None:
         """Drop the parser and the callbacks, which refer to this object and to its owner."""
@@ -196,7 +198,7 @@
     def on_body(self, part: bytes) -> None:
         """Library callback."""
         if not self._is_complete and not self.problem and not self._is_mismatched:
-            self._unexpected_bytes = 0
+            self._unexpected_bytes = max(0, self._unexpected_bytes - len(part) * FRAMING_BYTES)
             self._body(part)
 
     def on_message_complete(self) -> None:
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_following.py
@@ -21,6 +21,7 @@
 from dotterelgate_core.evacuations.records import EvacuationRecords
 from dotterelgate_core.readers import select_behind
 from dotterelgate_core.store_control import ConfigurationStored
+from dotterelgate_daemon.configuration_parts import ConfigurationParts, InvalidPartsError
 from dotterelgate_daemon.keyed_reading import Dependency, KeyedReader, ReadOutcome
 from dotterelgate_daemon.store import StoreRecord, Topic
 
@@ -46,7 +47,7 @@
         self._mesh = access.mesh
         self._emit = access.emit
         self._document = b""
-        self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
+        self._parts = ConfigurationParts()
         self._requested_at = float("-inf")
         self._dependency = Dependency(name="the configuration's topic")
         self._evacuations = EvacuationRecords()
@@ -157,15 +158,16 @@
         return [encode_datagram(message) for message in messages]
 
     def _receive_part(self, message: ConfigurationPart) -> None:
-        key = (message.sender, message.revision)
-        parts = self._parts.setdefault(key, {})
-        parts[message.part] = message.body
-        if len(parts) < message.parts:
-            return
-        self._parts.clear()
         try:
-            document = zlib.decompress(b"".join(parts[number] for number in range(message.parts)))
-        except (zlib.error, KeyError) as error:
-            logger.warning("store: a peer's configuration is corrupt", reason=repr(error))
+            document = self._parts.add(
+                sender=message.sender,
+                revision=message.revision,
+                part=message.part,
+                count=message.parts,
+                body=message.body,
+            )
+        except InvalidPartsError as error:
+            logger.warning("store: a peer's configuration is corrupt", reason=str(error))
             return
-        self._apply_document(document, message.sender)
+        if document is not None:
+            self._apply_document(document, message.sender)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/exchanges.py
@@ -53,6 +53,8 @@
     :param matches_request: returns whether headers belong to the answer to this request
     :param allows_close_delimited: whether the end of the connection may end the answer's body
     :param request_id: id that the answer repeats, empty where answers name no request
+    :param body_limit: largest body of the answer, in bytes; ``None`` where the body is relayed,
+        so that its reader sets the pace
     """
 
     def __init__(
@@ -70,8 +72,11 @@
         matches_request: Callable[[HeaderList], bool] = lambda headers: True,
         allows_close_delimited: bool = False,
         request_id: str = "",
+        body_limit: int | None = None,
     ) -> None:
         self._head = head
+        self._body_limit = body_limit
+        self._body_bytes = 0
         self._body = body if body is not None else RequestBody(is_complete=True)
         self._body_offset = 0
         self.has_sent_body = False
@@ -199,8 +204,14 @@
 
     def _pass_on(self, part: bytes) -> None:
         # A part may end the exchange; the same bytes may hold more of them.
-        if not self._is_ended:
-            self._part(part)
+        if self._is_ended:
+            return
+        self._body_bytes += len(part)
+        if self._body_limit is not None and self._body_bytes > self._body_limit:
+            reason = f"the body of the answer exceeds {self._body_limit} bytes"
+            self.fail(Refusal(codes.ANSWER_INVALID, reason))
+            return
+        self._part(part)
 
     def _finish(self) -> None:
         self._is_complete = True
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/http_server.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/http_server.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 
+import structlog
+
 from dotterelgate_daemon.codec import encode_answer_head
 from dotterelgate_daemon.request_reader import RequestReader
 
@@ -21,7 +23,10 @@
 
 __all__ = ["HttpRequest", "HttpServer", "answer_json"]
 
+logger = structlog.get_logger("endpoint")
+
 HEAD_LIMIT_BYTES = 65_536
+BODY_LIMIT_BYTES = 1_048_576
 
 
 @dataclass(kw_only=True)
@@ -73,7 +78,7 @@
         self._reader = RequestReader(
             head_limit=HEAD_LIMIT_BYTES,
             begin=self._begin,
-            body=lambda part: self._requests[-1].body.extend(part),
+            body=self._receive_body,
             end=self._end,
             refuse=self._refuse,
         )
@@ -95,6 +100,15 @@
     def _receive(self, data: bytes) -> None:
         self._reader.feed(data)
 
+    def _receive_body(self, part: bytes) -> None:
+        body = self._requests[-1].body
+        body.extend(part)
+        limit = self._server.body_limit
+        if len(body) > limit:
+            logger.warning("endpoint: a request's body is too large", limit=limit)
+            self._reader.discard()
+            self.close()
+
     def _begin(self, head: RequestHead) -> None:
         self._requests.append(HttpRequest(head=head, connection=self))
 
@@ -115,11 +129,18 @@
     """Answers requests on one address.
 
     :param answer: called with each complete request
+    :param body_limit: largest body of a request, in bytes; beyond it the connection is closed
     """
 
     def __init__(
-        self, *, streams: StreamService, address: str, answer: Callable[[HttpRequest], None]
+        self,
+        *,
+        streams: StreamService,
+        address: str,
+        answer: Callable[[HttpRequest], None],
+        body_limit: int = BODY_LIMIT_BYTES,
     ) -> None:
+        self.body_limit = body_limit
         self.streams = streams
         self.answer = answer
         self.connections: set[_Connection] = set()
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/keyed_reading.py
@@ -21,7 +21,7 @@
     from dotterelgate_core.state import DaemonState
     from dotterelgate_daemon.mesh import Mesh
     from dotterelgate_daemon.platform import PlatformAnswer, PlatformClient
-    from dotterelgate_daemon.store import StoreCalls, StoreRecord, Tail, Topic
+    from dotterelgate_daemon.store import Listing, StoreCalls, StoreRecord, Tail, Topic
 
 __all__ = ["Dependency", "KeyedReader", "ReadOutcome", "StoreAccess"]
 
@@ -31,6 +31,8 @@
 FIRST_BACKOFF_SECONDS = 0.5
 # A failing store is called no more often than this; failed calls load it as well.
 LONGEST_BACKOFF_SECONDS = 2.0
+# The largest topic has an entry for each backend server; 1,800 are planned for.
+MAX_LISTED_KEYS = 50_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -195,6 +197,10 @@
         elif era != listed.end.era:
             self._list_all(outcome)
             return
+        problem = _find_listing_problem(after, page, listed)
+        if problem:
+            outcome.on_failure(problem)
+            return
         listed.keys.update(record.key for record in page.records)
         self._on_records(_assign_era(page.records, era))
         if not page.is_last and page.records:
@@ -228,6 +234,17 @@
         self.position = max(self.position or end, end)
 
 
+def _find_listing_problem(after: str, page: Listing, listed: _KeyList) -> str:
+    """Find why a listing that goes on after a page would have no end, empty for no reason."""
+    if page.is_last or not page.records:
+        return ""
+    if page.records[-1].key <= after:
+        return f"the listing does not go on after {after!r}"
+    if len(listed.keys) + len(page.records) > MAX_LISTED_KEYS:
+        return f"the listing has more than {MAX_LISTED_KEYS} keys"
+    return ""
+
+
 def _assign_era(records: list[StoreRecord], era: int) -> list[StoreRecord]:
     return [replace(record, era=era) for record in records]
 
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -112,12 +112,6 @@
         received = bytearray()
         heads: list[AnswerHead] = []
 
-        def receive_part(part: bytes) -> None:
-            received.extend(part)
-            if len(received) > self._answer_limit:
-                reason = f"{self._address} sent more than {self._answer_limit} bytes"
-                exchange.fail(Refusal(codes.ANSWER_INVALID, reason))
-
         def finish() -> None:
             head = heads[-1]
             on_answer(
@@ -129,9 +123,10 @@
             head=encode_request_head(method, path, headers),
             body=RequestBody(body, is_complete=True),
             begin=heads.append,
-            part=receive_part,
+            part=received.extend,
             completed=finish,
-            failed=lambda end: on_failure(end.refusal.reason),
+            failed=lambda end: on_failure(f"{self._address}: {end.refusal.reason}"),
+            body_limit=self._answer_limit,
         )
         self._metrics.control_bytes.labels(channel=self._channel).inc(len(body) + len(path) + 100)
         self._pool.run(exchange, fresh=method != "GET")
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/prober.py
@@ -27,6 +27,8 @@
 # Interval at which overdue probes are failed.
 SWEEP_SECONDS = 0.12
 PROBES = "probes"
+# The body of a probe's answer is not used; servers send a few words at most.
+BODY_LIMIT_BYTES = 65_536
 
 
 class Prober:
@@ -90,6 +92,7 @@
             part=lambda part: None,
             completed=lambda: report_end(answered=True),
             failed=lambda end: report_end(answered=False, refused=end.refused),
+            body_limit=BODY_LIMIT_BYTES,
             matches_request=lambda received: self._dialect.is_answer_to(
                 self._dialect.read_answer(received), ""
             ),
