Grant removed entries time to return only after an outage of the store itself

Cause: a daemon that failed to read twice took the store for unavailable, though only its own path was cut. On its return it told all peers that the store had recovered, and each of them granted removed entries 2.2 s from that moment, since entries may have lapsed in an outage.

Change: entries lapse after three silent heartbeats of 1.5 s, so an outage that lets one lapse lasts 3 s or more. A daemon believes in such an outage, its own or a peer's, only where what it knows of the store is older than 2.5 s: it hears of each read of its peers, at most 1.9 s old in any other case. No message changes.

Measured: six of ten scenarios of store_outages.feature failed before, none after; those in which the store really was away for 3 s and more pass on both.

--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -50,6 +50,9 @@
 REPEAT_SECONDS = 3.0
 # The platform's bounds on configuration and draining; older knowledge is logged.
 STALE_SECONDS = 2.0
+# Entries lapse after three silent heartbeats of 1.5 s, so an outage that lets one lapse lasts 3 s
+# or more. Where a daemon, or a peer that it hears, has read the store since, it had no such outage.
+LAPSING_OUTAGE_SECONDS = 2.5
 # Ticks that come later than this show that the daemon was suspended; what it knows may be older
 # than updates that it received before or while it was.
 SUSPENSION_SECONDS = 3.0
@@ -216,21 +219,30 @@
 
 
 def _end_read(registry: RegistryState, reading: ReadingState, now: float) -> list[Message]:
+    may_have_lapsed = registry.is_unavailable and _was_outage(reading, now)
     reading.is_reading = False
     reading.failures = 0
     reading.current_at = reading.read_started_at
-    return [StoreRecovered(now=now)] if registry.is_unavailable else []
+    registry.is_unavailable = False
+    return [StoreRecovered(now=now)] if may_have_lapsed else []
+
+
+def _was_outage(reading: ReadingState, now: float) -> bool:
+    """Return whether nobody that this daemon hears has read the store for long."""
+    return now - reading.current_at > LAPSING_OUTAGE_SECONDS
 
 
 def _apply_update(
     registry: RegistryState, reading: ReadingState, update: StoreUpdateReceived
 ) -> list[Message]:
+    # A peer that was cut off takes its own return for that of the store.
+    may_have_lapsed = _was_outage(reading, update.now)
     # A reader may be slow; what it read is as old as its read.
     reading.current_at = max(reading.current_at, update.read_at)
     reading.update_received_at = update.now
     if update.is_remote_zone:
         reading.remote_update_at = update.now
     registry.is_unavailable = False
-    if update.recovered_at > registry.recovered_at:
+    if may_have_lapsed and update.recovered_at > registry.recovered_at:
         return [StoreRecovered(now=update.recovered_at)]
     return []
