Pass on nothing behind an answer that may be cut off

Cause: requests sent ahead ran side by side, also behind an answer that is relayed before it is complete. Such an answer can't be replaced when its server fails, and HTTP/1.1 has no way to go on behind it.

Change: nothing starts behind a download, nor behind any answer that is being relayed, before that answer has arrived whole. Responses are sent in order, so those behind could not have been sent earlier; they start once the last byte is at the daemon, while the caller still reads. Requests that were not passed on count as not read, and are sent again.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -1,7 +1,8 @@
 Feature: Requests that a caller sends ahead run side by side where that is safe
 
   # r is a request that may run more than once, w one that may not, i one that is incomplete;
-  # capitals were passed on, and a C says in its response that the connection closes.
+  # capitals were passed on; a C says in its response that the connection closes, and the answer
+  # to a B may be cut off on its way to the caller.
   Scenario Outline: Of the requests <requests> with <held> bytes held, <startable> may start
     Given the unanswered requests <requests> of one connection
     When <held> bytes of responses wait for their turn
@@ -22,6 +23,9 @@
       | Ri         | 0      | none                    |
       | rir        | 0      | 1                       |
       | Crr        | 0      | none                    |
+      | Brr        | 0      | none                    |
+      | RBr        | 0      | none                    |
+      | Rrb        | 0      | 2, 3                    |
       | rrrrrrrrrr | 0      | 1, 2, 3, 4, 5, 6, 7, 8  |
       | RRRRRRRRr  | 0      | none                    |
       | Rr         | 262144 | 2                       |
@@ -56,6 +60,29 @@
     Then the connections to servers are closed, and no server has a failure
     And nothing is kept of it
 
+  # Servers ran seven requests behind each download that was broken off; the callers got no answer
+  # to them (review/9, LOST).
+  Scenario: A request behind a download is passed on once the download has arrived
+    Given a daemon with 3 backend servers on fake connections
+    When a caller sends brr, and a server sends 3000 of 5000 bytes of the first
+    Then 1 requests were passed on so far
+    When the server sends the rest
+    Then 3 requests were passed on so far
+    And the responses arrive complete in the order of the requests
+
+  Scenario: Nothing was passed on behind a download that breaks off
+    Given a daemon with 3 backend servers on fake connections
+    When a caller sends brr, and a server sends 3000 of 5000 bytes of the first
+    And the connection to that server breaks
+    Then 1 requests were passed on so far
+    And the caller has the first part and a closed connection, and nothing is kept of it
+
+  Scenario: Nothing more is passed on behind a large answer once it is relayed
+    Given a daemon with 3 backend servers on fake connections
+    When a caller sends r, and a server sends 3000 of 5000 bytes of the first
+    And the caller sends a read behind it
+    Then 1 requests were passed on so far
+
   Scenario: A request behind a cut response is cancelled
     Given a daemon with 3 backend servers on fake connections
     When a caller sends rr at once, and the first response breaks off
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -198,3 +198,46 @@
 def check_ran(context, count):
     ran = context.system.list_ran()
     assert len(ran) == count, ran
+
+
+@when(
+    "a caller sends {letters} at once, and a server sends {sent:d} of {size:d} bytes of the first"
+)
+@when("a caller sends {letters}, and a server sends {sent:d} of {size:d} bytes of the first")
+def begin_large(context, letters, sent, size):
+    context.caller = PipelinedCaller(context.subject)
+    context.caller.send(letters)
+    context.count = len(letters)
+    context.rest = bytes(size - sent)
+    context.caller.answer(1, size=size - 1, sent=sent)
+
+
+@when("the server sends the rest")
+def send_rest(context):
+    context.caller.unread[1] = context.rest
+    context.caller.read_on()
+    for place in range(2, context.count + 1):
+        context.caller.answer(place)
+
+
+@when("the connection to that server breaks")
+def break_download(context):
+    context.caller.servers[1].reset()
+
+
+@when("the caller sends a read behind it")
+def send_behind(context):
+    context.caller.stream.receive(encode_request(method="GET", path="/read/x2"))
+    context.caller.establish()
+
+
+@then("{count:d} requests were passed on so far")
+def check_passed_on_so_far(context, count):
+    assert len(context.caller.servers) == count, sorted(context.caller.servers)
+
+
+@then("the caller has the first part and a closed connection, and nothing is kept of it")
+def check_cut_first(context):
+    assert context.caller.stream.has_ended_sending
+    assert not context.subject.gateway.pending
+    assert context.subject.count_in_flight() == 0
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -9,7 +9,7 @@
 
 from dotterelgate_border.handover import HandedCall
 from dotterelgate_core.configuration import Route
-from dotterelgate_core.pipelining import is_idempotent
+from dotterelgate_core.pipelining import find_traits
 from dotterelgate_core.store_control import ConfigurationStored
 from dotterelgate_core.unsent import FailUnsent
 from dotterelgate_daemon.caller_connections import CallerConnection
@@ -139,7 +139,7 @@
             metrics=Metrics(),
             pause_detector=PauseDetector(),
             call_after=lambda *, delay, call: self.timers.append((delay, call)),
-            is_idempotent=lambda call: is_idempotent(self.daemon.state.configuration, call),
+            find_traits=lambda call: find_traits(self.daemon.state.configuration, call),
         )
         self.context = self.server._context
 
--- a/features/subjects/pipelining.py
+++ b/features/subjects/pipelining.py
@@ -8,7 +8,7 @@
 from subjects.caller_connections import CallerConnections, encode_request
 
 READ_BYTES = 65_536
-PATHS = {"r": "/read/x", "w": "/write/x"}
+PATHS = {"r": "/read/x", "w": "/write/x", "b": "/bulk/x"}
 
 
 class PipelinedDecisions:
@@ -22,6 +22,7 @@
                 is_idempotent=letter.lower() != "w",
                 is_started=letter.isupper(),
                 closes=letter == "C",
+                may_be_cut=letter == "B",
             )
             for letter in letters
         ]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/callers.py
@@ -13,6 +13,7 @@
 
     from dotterelgate_core.configuration import CallerLimits
     from dotterelgate_core.messages import Call
+    from dotterelgate_core.pipelining import RequestTraits
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.intake.supervision import IntakeLimits
     from dotterelgate_daemon.metrics import Metrics
@@ -29,7 +30,7 @@
     :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
     :param pause_detector: measures how long a request may have waited unread
     :param call_after: calls a function after a delay
-    :param is_idempotent: returns whether a call may run more than once
+    :param find_traits: returns what a call's route says of it
     :param limits: limits on what callers make the daemon hold
     :param find_caller_limits: returns the limits of the configuration in force
     :param metrics: counts callers that were refused or closed for a limit
@@ -44,7 +45,7 @@
         body_limit: int,
         pause_detector: PauseDetector,
         call_after: Callable[..., None],
-        is_idempotent: Callable[[Call], bool],
+        find_traits: Callable[[Call], RequestTraits],
         limits: IntakeLimits,
         find_caller_limits: Callable[[], CallerLimits | None],
         metrics: Metrics,
@@ -57,7 +58,7 @@
             body_limit=body_limit,
             pause_detector=pause_detector,
             call_after=call_after,
-            is_idempotent=is_idempotent,
+            find_traits=find_traits,
             limits=limits,
             find_caller_limits=find_caller_limits,
             count_closed=lambda reason: metrics.callers_closed.labels(reason=reason).inc(),
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/common_parts.py
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from dotterelgate_core.pipelining import is_idempotent
+from dotterelgate_core.pipelining import find_traits
 from dotterelgate_core.unsent import FailUnsent
 from dotterelgate_daemon.callers import CallerServer
 from dotterelgate_daemon.gateway import Gateway
@@ -106,7 +106,7 @@
         body_limit=settings.kept_body_limit,
         pause_detector=pause_detector,
         call_after=timers.call_after,
-        is_idempotent=lambda call: is_idempotent(state.configuration, call),
+        find_traits=lambda call: find_traits(state.configuration, call),
         limits=limits,
         find_caller_limits=lambda: _find_caller_limits(state),
         metrics=metrics,
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/connection_context.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/connection_context.py
@@ -12,6 +12,7 @@
 
     from dotterelgate_core.configuration import CallerLimits
     from dotterelgate_core.messages import Call
+    from dotterelgate_core.pipelining import RequestTraits
     from dotterelgate_daemon.caller_connections import CallerConnection
     from dotterelgate_daemon.gateway import Gateway
     from dotterelgate_daemon.intake.heads import HeadLimits
@@ -29,7 +30,7 @@
     :param body_limit: bytes of a request body that are buffered; larger bodies are streamed
     :param pause_detector: measures how long a request may have waited unread
     :param call_after: calls a function after a delay
-    :param is_idempotent: returns whether a call may run more than once
+    :param find_traits: returns what a call's route says of it
     :param is_stopping: whether connections close after the answer in progress
     :param connections: the open connections
     :param limits: limits on what all callers make the daemon hold
@@ -44,7 +45,7 @@
     body_limit: int
     pause_detector: PauseDetector
     call_after: Callable[..., None]
-    is_idempotent: Callable[[Call], bool]
+    find_traits: Callable[[Call], RequestTraits]
     is_stopping: bool = False
     connections: set[CallerConnection] = field(default_factory=set)
     limits: IntakeLimits = field(default_factory=IntakeLimits)
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/incoming_requests.py
@@ -7,6 +7,7 @@
 
 from dotterelgate_core.codes import Refusal
 from dotterelgate_core.messages import Call
+from dotterelgate_core.pipelining import RequestTraits
 from dotterelgate_daemon.codec import find_header
 from dotterelgate_daemon.identities import compute_fingerprint, compute_identity
 from dotterelgate_daemon.intake.holdings import measure_call
@@ -39,9 +40,16 @@
     call: Call | Refusal | None = None
     pending: PendingCall | None = None
     is_started: bool = False
-    is_idempotent: bool = False
+    traits: RequestTraits = field(default_factory=RequestTraits)
     is_continued: bool = False
 
+    @property
+    def may_be_cut(self) -> bool:
+        """Whether its answer is, or will be, relayed before it is complete."""
+        if self.pending is None or self.response.has_ended:
+            return False
+        return self.traits.is_bulk or self.pending.relay_started
+
     @property
     def held_bytes(self) -> int:
         """Bytes of memory that it takes, with its response."""
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/request_queue.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/request_queue.py
@@ -119,11 +119,12 @@
                 gateway=self._context.gateway, body_limit=self._context.body_limit
             )
             if not isinstance(request.call, Refusal):
-                request.is_idempotent = self._context.is_idempotent(request.call)
+                request.traits = self._context.find_traits(request.call)
         return PipelinedRequest(
             is_ready=is_ready,
             is_whole=request.body.is_complete,
-            is_idempotent=request.is_idempotent or isinstance(request.call, Refusal),
+            is_idempotent=request.traits.is_idempotent or isinstance(request.call, Refusal),
             is_started=request.is_started,
             closes=request.response.closes,
+            may_be_cut=request.may_be_cut,
         )
