Send no write whose caller left while its connection was being opened

Cause: a write whose caller leaves goes on, since it may have run and nobody may repeat it. That held also for one of which nothing was sent yet, and whose connection carried it whenever the server accepted.

Change: when the caller of a write leaves, its attempts of which nothing was sent fail, by the order that evacuations and planned stops use; the write then ends as one that did not run. Writes under a key go on, for a retry with that key.

Measured: the scenario "a complete write whose caller leaves while the connection is opened" fails before and passes after; sent writes go on as before.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -45,6 +45,21 @@
     When a caller leaves after 500 of 9000 bytes
     Then nothing is kept of it
 
+  # Where a server was slow to accept, writes reached it up to 1.3 s after their callers had left
+  # (the second review, GONE).
+  Scenario Outline: The attempt of a complete <kind> whose caller leaves <moment> <ends>
+    Given a daemon with 3 backend servers on fake connections
+    When the caller of a complete <kind> leaves <moment>
+    Then the server's connection <ends>
+    And the server's answer leaves nothing behind
+
+    Examples:
+      | kind  | moment                          | ends      |
+      | write | while the connection is opened  | is closed |
+      | read  | while the connection is opened  | is closed |
+      | write | after the connection was opened | goes on   |
+      | read  | after the connection was opened | is closed |
+
   # A call that had been given a freed slot was never sent, and got 504.
   Scenario: An order that can't be carried out keeps no other order back
     Given a daemon with 3 backend servers on fake connections
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -113,6 +113,29 @@
     assert context.subject.count_failures() == 0
 
 
+@when("the caller of a complete {kind} leaves {moment}")
+def leave_complete(context, kind, moment):
+    caller = context.subject.connect()
+    caller.receive(encode_request(path=PATHS[kind], size=500) + make_body(500))
+    context.server, ready = context.subject.take_opened()
+    if "after" in moment:
+        ready()
+    caller.reset()
+
+
+@then("the server's connection {ends}")
+def check_server_connection(context, ends):
+    assert context.server.is_open == (ends == "goes on")
+    assert not context.subject.streams.opened
+
+
+@then("the server's answer leaves nothing behind")
+def check_answer_unread(context):
+    if context.server.is_open:
+        context.server.receive(ANSWER)
+    check_nothing_kept(context)
+
+
 @when("a caller leaves after {sent:d} of {size:d} bytes")
 def leave_early(context, sent, size):
     caller = context.subject.connect()
--- a/packages/dotterelgate-core/src/dotterelgate_core/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/settling.py
@@ -26,6 +26,7 @@
 from dotterelgate_core.retry_after import choose_retry_after
 from dotterelgate_core.statuses import promises_not_run
 from dotterelgate_core.stopping.fitting import has_time
+from dotterelgate_core.unsent import fail_unsent_attempts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -241,10 +242,11 @@
     if not message.is_body_complete:
         # No server can get the rest of the body.
         return _cancel_call(state, call_state, message.now, refusal)
-    if not call_state.routed.route.idempotent and not call_state.queued:
-        return []
     if call_state.digest is not None:
+        # A retry with the same key gets its answer.
         return []
+    if not call_state.routed.route.idempotent and not call_state.queued:
+        return [*fail_unsent_attempts([call_state], "the caller left before it accepted")]
     return _cancel_call(state, call_state, message.now, refusal)
 
 
