Keep what is known of a server's leaving when a restored store lists it again

Causes: (1) `ServerTable.remove` forgot what the server had said. (2) Updates between daemons leave out writes that change nothing, so a daemon that does not read the store knew an older count of the entry's writes than the copy holds, and took the copy's entry for a newer one.

Change: the table keeps, for the last 1,024 servers that said so, that a run leaves beyond its entry; another run under the same name starts afresh. A removed entry in an update names the run and the count of its last write (two fields at the end of the record, which earlier builds pass over), so every daemon compares a copy's entry with what the reader knew.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -49,6 +49,38 @@
       | i-1 leaves by write 10 | ready by a later run       | 40     | i-1 and i-2  |
       | i-1 leaves by write 10 | ready without a count      | 40     | i-1 and i-2  |
 
+  # Daemons that had passed on an answer which said that its server leaves sent it requests again,
+  # once the store came back from a copy that still had its entry (the second review, DRAIN).
+  Scenario Outline: What a server said of its leaving outlives its entry, for that run
+    Given a daemon that knows i-1 by its write 9 at offset 60 of era 1, and i-2
+    When i-1 says in <source> that it leaves
+    And the entry of i-1 goes at offset 61 of era 1
+    And the store's era is 2 and i-1 is read as written <copy> at offset 40 of era 2
+    Then after the restore work may go to <usable>
+
+    Examples:
+      | source               | copy                 | usable       |
+      | an answer            | ready by write 11    | i-2          |
+      | what a peer passes on | ready by write 11   | i-2          |
+      | an answer            | ready by a later run | i-1 and i-2  |
+      | no word              | ready by write 11    | i-1 and i-2  |
+
+  # Updates leave out writes that change nothing; a copy held a later count than daemons knew that
+  # don't read the store, which took it for news.
+  Scenario Outline: A copy's entry of a removed server is news to no daemon, by <removal>
+    Given two daemons that list i-1 by its write 1 up to position 9 of era 1
+    When the first reads writes 2 to 7 of i-1, and then its removal by <removal>
+    And the other gets its updates
+    And both read write 6 of i-1 in a copy of era 2
+    Then neither uses i-1
+    When both read write 8 of i-1 in era 2
+    Then both use i-1
+
+    Examples:
+      | removal   |
+      | a record  |
+      | a listing |
+
   Scenario: After the copy's entry the server's next write counts, whatever its offset was before
     Given a daemon that knows i-1 by its write 9 at offset 60 of era 1, and i-2
     When the store's era is 2 and i-1 is read as written ready by write 5 at offset 30 of era 2
--- a/features/subjects/large_zone.py
+++ b/features/subjects/large_zone.py
@@ -216,10 +216,17 @@
         self.daemon.run_control(message)
 
 
-def build_record(name: str, offset: int, era: int = 0) -> StoreRecord:
-    """Build a backend server's entry as the store holds it."""
+def build_record(
+    name: str, offset: int, era: int = 0, *, host: int | None = None, write: int = 0
+) -> StoreRecord:
+    """Build a backend server's entry as the store holds it.
+
+    :param host: last part of its address, its offset by default
+    :param write: number of the write, 0 for a server that does not count them
+    """
     # As long as an entry of the platform.
-    value = f"10.0.1.{offset}:80".ljust(ENTRY_BYTES).encode("ascii")
+    address = f"10.0.1.{offset if host is None else host}:80"
+    value = f"{address} {write}".ljust(ENTRY_BYTES).encode("ascii")
     return StoreRecord(key=name, offset=offset, value=value, era=era)
 
 
@@ -230,6 +237,14 @@
 
 
 def decode_registration(value: bytes) -> Registration:
-    """Decode an entry, which is its address."""
-    address = value.decode("ascii").strip()
-    return Registration(service="s", address=address, zone=ZONE, slots=3, is_draining=False)
+    """Decode an entry, which is its address and the number of the write."""
+    address, write = value.decode("ascii").split()
+    return Registration(
+        service="s",
+        address=address,
+        zone=ZONE,
+        slots=3,
+        is_draining=False,
+        born=1,
+        write=int(write),
+    )
--- a/packages/dotterelgate-border/src/dotterelgate_border/registry_datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/registry_datagrams.py
@@ -11,12 +11,16 @@
     """One entry with its bytes as stored; ``None`` for a removed one.
 
     :param era: era of the store in which it was written, 0 for that of the update's end
+    :param born: of a removed entry, when the run of the server started that wrote it last
+    :param write: number of that run's last write, 0 where it is not known
     """
 
     name: str
     offset: int
     value: bytes | None
     era: int = 0
+    born: int = 0
+    write: int = 0
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=3):
--- a/packages/dotterelgate-core/src/dotterelgate_core/eras.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/eras.py
@@ -51,8 +51,8 @@
 class EntryVersion:
     """Which write of a backend server's entry is known.
 
-    :param run: when that run of the server started, and the number of the write within it;
-        ``None`` for a removed or unusable entry, and where the server does not count
+    :param run: when that run of the server started, and the number of the write within it, for a
+        removed entry of its last write; ``None`` where that is not known
     """
 
     position: Position
--- a/packages/dotterelgate-core/src/dotterelgate_core/registry.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/registry.py
@@ -64,6 +64,8 @@
     :param reason: why ``registration`` is ``None``
     :param source: where it was read: the store or a peer
     :param era: era of the store in which it was written
+    :param removed_run: of a removed entry, the start of the run that wrote it last, and the number
+        of that write, where the source knows them
     """
 
     now: float
@@ -73,12 +75,13 @@
     reason: str = ""
     source: str = "the store"
     era: int = 0
+    removed_run: tuple[int, int] | None = None
 
     @property
     def version(self) -> EntryVersion:
         """Which write of the entry it is."""
         registration = self.registration
-        run = None
+        run = self.removed_run if registration is None else None
         if registration is not None and registration.write:
             run = (registration.born or 0, registration.write)
         return EntryVersion(position=Position(era=self.era, offset=self.offset), run=run)
--- a/packages/dotterelgate-core/src/dotterelgate_core/servers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/servers.py
@@ -19,6 +19,8 @@
 PAUSE_SECONDS = 1.0
 MAX_PAUSE_SECONDS = 8.0
 SMOOTHING_WEIGHT = 0.3
+# Servers that left and whose entry may come back; a copy of the store is some seconds old.
+MAX_LEFT = 1024
 
 
 @dataclass(kw_only=True, slots=True)
@@ -158,12 +160,15 @@
 
     :param changed: names of those whose in-flight count here changed, to be sent to peers
     :param sampled: names of those with a report from a probe, to be sent to peers
+    :param left: by name, the start of the run that was removed after it had said that it leaves,
+        and the wall-clock second of its newest report
     """
 
     states: dict[str, ServerState] = field(default_factory=dict)
     by_service: dict[str, list[ServerState]] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     sampled: set[str] = field(default_factory=set)
+    left: dict[str, tuple[int | None, float]] = field(default_factory=dict)
 
     def follow_configuration(self, services: tuple[Service, ...], *, warm: bool) -> None:
         """Add and remove backend servers to match the configuration.
@@ -196,6 +201,10 @@
         self.remove(server.name)
         state = self.states[server.name] = ServerState(server=server, service=service)
         self.by_service.setdefault(service, []).append(state)
+        born, wall = self.left.pop(server.name, (None, 0.0))
+        if born is not None and born == server.born:
+            # An entry that is older than its removal may come back with a copy of the store.
+            state.apply_leaving_report(is_leaving=True, wall=wall)
         return state
 
     def remove(self, name: str) -> None:
@@ -206,6 +215,13 @@
         for pool in self.by_service.values():
             if state in pool:
                 pool.remove(state)
+        if state.reports_leaving:
+            self._remember_left(state)
+
+    def _remember_left(self, state: ServerState) -> None:
+        self.left[state.server.name] = (state.server.born, state.leaving_report_wall)
+        if len(self.left) > MAX_LEFT:
+            del self.left[next(iter(self.left))]
 
     def _carry_over(
         self, before: dict[str, ServerState], server: BackendServer, *, warm: bool
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/registry_following.py
@@ -137,7 +137,7 @@
         for name in self._entries.keys() - keys:
             if find_position(self._entries[name]) < end:
                 del self._entries[name], self._decoded[name]
-                removed = RegistryEntry(name=name, offset=end.offset - 1, value=None, era=end.era)
+                removed = self._build_removed(name, end.offset - 1, end.era)
                 self._changes[name] = (now, removed)
         self._has_listed = True
 
@@ -153,6 +153,7 @@
                 reason=reason,
                 source=source,
                 era=record.era,
+                removed_run=record.removed_run,
             )
             if self._registry.is_news(read):
                 self._keep(now, record, registration, source)
@@ -161,9 +162,12 @@
     def _keep(
         self, now: float, record: StoreRecord, registration: Registration | None, source: str
     ) -> None:
-        entry = RegistryEntry(
-            name=record.key, offset=record.offset, value=record.value, era=record.era
-        )
+        if record.value is None:
+            entry = self._build_removed(record.key, record.offset, record.era)
+        else:
+            entry = RegistryEntry(
+                name=record.key, offset=record.offset, value=record.value, era=record.era
+            )
         is_change = self._is_change(record.key, registration)
         # What the first listing holds is no news to peers.
         if is_change and (self._has_listed or source != STORE):
@@ -173,6 +177,16 @@
         else:
             self._entries[entry.name] = entry
 
+    def _build_removed(self, name: str, offset: int, era: int) -> RegistryEntry:
+        """Build the entry of a removed one, with the count of its last write.
+
+        Updates leave out writes that change nothing, so peers may know an older count than a copy
+        of the store holds, and would take the copy's entry for a newer one.
+        """
+        known = self._registry.versions.get(name)
+        born, write = known.run if known is not None and known.run is not None else (0, 0)
+        return RegistryEntry(name=name, offset=offset, value=None, era=era, born=born, write=write)
+
     def _decode(self, record: StoreRecord) -> tuple[Registration | None, str]:
         if record.value is None:
             return None, "its entry was removed"
@@ -264,7 +278,11 @@
         end = Position(era=era.resolve(update.era), offset=update.end)
         records = [
             StoreRecord(
-                key=each.name, offset=each.offset, value=each.value, era=each.era or end.era
+                key=each.name,
+                offset=each.offset,
+                value=each.value,
+                era=each.era or end.era,
+                removed_run=(each.born, each.write) if each.write else None,
             )
             for each in update.entries
         ]
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/store.py
@@ -39,12 +39,15 @@
     """The value of a key as written at an offset; ``None`` where it was removed.
 
     :param era: era of the store, 0 where it names none
+    :param removed_run: of a removed record that a peer read, the start of the backend server's run
+        that wrote it last, and the number of that write
     """
 
     key: str
     offset: int
     value: bytes | None
     era: int = 0
+    removed_run: tuple[int, int] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
