--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -92,11 +92,16 @@
 
   # What waited for a slot when the process ended got no answer, not even that it had not run
   # (review/6).
-  Scenario: Requests that wait for a slot in a planned stop are served or refused, none is dropped
+  Scenario Outline: Requests that wait for a slot are served or refused, none is dropped, on <signals>
     Given the platform with 1 backend servers and 2 daemons
-    When 24 writes of 1000 ms with 20 s of time arrive at front-1, which is told to stop
+    When 24 writes of 1000 ms with 20 s of time arrive at front-1, which gets <signals>
     Then each is answered 200, or 503 while front-1 still runs, and no refused one ran
 
+    Examples:
+      | signals                  |
+      | SIGTERM                  |
+      | SIGHUP, SIGTERM, SIGTERM |
+
   # A request that took until late in the stop to arrive was passed on, and cut off without an
   # answer when the process ended, though it may not be sent again.
   Scenario: A request that is complete too late in a planned stop is refused, not cut off
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -45,9 +45,9 @@
 
 @when(
     "{count:d} writes of {milliseconds:d} ms with {seconds:d} s of time arrive at front-1, "
-    "which is told to stop"
+    "which gets {signals}"
 )
-def stop_with_waiting(context, count, milliseconds, seconds):
+def stop_with_waiting(context, count, milliseconds, seconds, signals):
     platform = context.platform
     platform.publish(11, "/orders/", timeout=float(seconds))
     time.sleep(CONFIGURATION_SECONDS)
@@ -63,8 +63,9 @@
 
     with ThreadPoolExecutor(count) as pool:
         sent = {f"n{number}": pool.submit(send, number) for number in range(count)}
-        time.sleep(0.3)
-        platform.daemons["front-1"].send(signal.SIGTERM)
+        for name in signals.split(", "):
+            time.sleep(0.3)
+            platform.daemons["front-1"].send(signal.Signals[name])
         context.ended = {request_id: each.result() for request_id, each in sent.items()}
 
 
