Let another zone send what it reads where the store refuses the leading zone

Cause: each other zone notices after 1.0 s that nobody reads for it, reads by itself, and keeps what it reads to itself, since only the leading zone sends to others. Nothing told the leading zone that it does not lead.

Change: a zone that hears no other one sends what it reads to the readers of all zones. The leading zone does not yield to what it hears, so that one zone reads again as soon as it can; the others yield to each other as before.

--- a/packages/dotterelgate-core/src/dotterelgate_core/readers.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/readers.py
@@ -52,9 +52,10 @@
 def select_read_receivers(state: DaemonState, reading: ReadingState, now: float) -> list[str]:
     """List the peers that get what this daemon read.
 
-    In the leading zone these include the readers of the other zones and their successors, so
-    that one zone reads for all. Daemons far behind in rank read at the same time, and for
-    themselves alone: in a large zone, what each sent to all would keep them from reading. One
+    In the leading zone these include the readers of the other zones and their successors, so that
+    one zone reads for all; so they do elsewhere while no other zone is heard, since the store may
+    refuse all daemons of the leading one. Daemons far behind in rank read at the same time, and
+    for themselves alone: in a large zone, what each sent to all would keep them from reading. One
     of them sends updates once none came for as long as those before it would have waited.
     """
     rank = find_rank(state, reading, now)
@@ -62,7 +63,8 @@
     if rank > LAST_WAITING_RANK and not is_update_overdue(updated_at, rank, now):
         return []
     receivers = select_zone_peers(state, now)
-    if find_leading_zone(state, now) != state.zone:
+    is_led = not is_update_overdue(reading.remote_update_at, 1, now)
+    if is_led and find_leading_zone(state, now) != state.zone:
         return receivers
     for zone in _list_remote_zones(state):
         receivers += list_owners(state, READER_SUBJECT, now, zone)
--- a/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/store_reading.py
@@ -8,7 +8,12 @@
 from dotterelgate_core.backoff import compute_backoff
 from dotterelgate_core.control_messages import ControlTicked
 from dotterelgate_core.messages import Decision
-from dotterelgate_core.readers import LAST_WAITING_RANK, find_rank, is_update_overdue
+from dotterelgate_core.readers import (
+    LAST_WAITING_RANK,
+    find_leading_zone,
+    find_rank,
+    is_update_overdue,
+)
 from dotterelgate_core.registry import StoreRecovered
 
 if TYPE_CHECKING:
@@ -184,7 +189,7 @@
     if since < _compute_backoff(reading.failures):
         return False
     rank = find_rank(state, reading, now)
-    if now - max(reading.started_at, reading.remote_update_at) < REPEAT_SECONDS:
+    if now - reading.started_at < REPEAT_SECONDS or _is_led(state, reading, now):
         # Daemons with a history go first, at a first start nobody has one; a zone that another
         # one reads for reads by itself when that fails.
         rank += 1
@@ -196,6 +201,12 @@
     return is_update_overdue(reading.current_at, rank, now)
 
 
+def _is_led(state: DaemonState, reading: ReadingState, now: float) -> bool:
+    """Return whether another zone reads for this one, which does not lead itself."""
+    is_heard = now - reading.remote_update_at < REPEAT_SECONDS
+    return is_heard and find_leading_zone(state, now) != state.zone
+
+
 def _compute_backoff(failures: int) -> float:
     return compute_backoff(failures, first=FIRST_BACKOFF_SECONDS, longest=MAX_BACKOFF_SECONDS)
 
