Bring a load that needs all servers where zones that were taken back are checked

The traces: after the return, one request at a time went to i-1 and i-2, 88 and 44 of them, and none to i-3, which stands in another zone. By `explain` all three were eligible with no load and equal expected times, and i-3 cost 1.5 times as much. In runs that passed, i-3 was chosen since the daemons still had connections to it, which costs less than a new one for 5 s. So no request needed i-3, and whether it got one was a matter of time.

Change: nine requests at once, as many as the servers have slots, so that the two servers of the own zone can't take all; the check, that all three run requests within 12 s, is the same.

--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -111,4 +111,4 @@
     When south is evacuated as well
     Then requests are refused within 2 s with the code no_server and a time to retry
     When both zones are taken back
-    Then i-1, i-2 and i-3 get requests within 12 s
+    Then i-1, i-2 and i-3 get requests within 12 s of a load that needs all three
