--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/platform.py
@@ -125,7 +125,7 @@
             begin=heads.append,
             part=received.extend,
             completed=finish,
-            failed=lambda end: on_failure(f"{self._address}: {end.refusal.reason}"),
+            failed=lambda end: on_failure(end.refusal.reason),
             body_limit=self._answer_limit,
         )
         self._metrics.control_bytes.labels(channel=self._channel).inc(len(body) + len(path) + 100)
