Let steps wait for a range of keys that is on its way between two daemons

Three scenarios failed once each in their Given step, "nobody holds keys/N": it read each daemon's status once, and in a handover neither the old nor the new holder may name the range. The steps read again for 5 s now. That this was the cause is suspected, not shown: the failures did not come again here.

--- a/features/subjects/system.py
+++ b/features/subjects/system.py
@@ -15,6 +15,8 @@
 from dotterelgate_operator.publishing import Publisher
 
 KEY_RANGES = 6
+HANDOVER_SECONDS = 5.0
+POLL_SECONDS = 0.05
 LEASE_SECONDS = 900.0
 
 
@@ -104,12 +106,18 @@
         return find_range(digest_key("bakery", key), KEY_RANGES)
 
     def find_key_holder(self, key: str, names=None) -> str:
-        """Find which daemon holds a key's range."""
+        """Find which daemon holds a key's range.
+
+        A range may be on its way between two daemons when their statuses are read.
+        """
         resource = self.find_range(key)
-        for name in names or self.fleet.daemons:
-            status = self.fleet.read_status(name)
-            if status is not None and resource in status["held"]:
-                return name
+        until = time.monotonic() + HANDOVER_SECONDS
+        while time.monotonic() < until:
+            for name in names or self.fleet.daemons:
+                status = self.fleet.read_status(name)
+                if status is not None and resource in status["held"]:
+                    return name
+            time.sleep(POLL_SECONDS)
         raise AssertionError(f"nobody holds {resource}")
 
     def make_key(self, *, held_by: str | None = None, not_held_by: str | None = None) -> str:
