Decompress what peers send in one place

Both use `border/compression` now. Parts that a peer sends under another count of parts start anew, instead of being joined with the earlier ones. No check changes; the features on peers' parts and on corrupt datagrams pass.

--- a/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
+++ b/packages/dotterelgate-border/src/dotterelgate_border/datagrams.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from dotterelgate_border.compression import CompressionError, decompress
 from dotterelgate_border.registry_datagrams import RegistryEntry, RegistryRequest, RegistryUpdate
 
 __all__ = [
@@ -325,18 +326,11 @@
     """
     message = _decoder.decode(data)
     if isinstance(message, CompressedDatagram):
-        message = _decoder.decode(_decompress(message.body))
+        try:
+            data = decompress(message.body, limit=MAX_DECOMPRESSED_BYTES)
+        except CompressionError as error:
+            raise msgspec.DecodeError(f"a compressed message is {error}") from error
+        message = _decoder.decode(data)
     if isinstance(message, CompressedDatagram):
         raise msgspec.DecodeError("a compressed message holds another one")
     return message
-
-
-def _decompress(body: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    try:
-        data = decompressor.decompress(body, MAX_DECOMPRESSED_BYTES)
-    except zlib.error as error:
-        raise msgspec.DecodeError(f"a compressed message is corrupt: {error}") from error
-    if not decompressor.eof:
-        raise msgspec.DecodeError("a compressed message is cut off or too long")
-    return data
--- a/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_parts.py
+++ b/packages/dotterelgate-daemon/src/dotterelgate_daemon/configuration_parts.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import zlib
+from dotterelgate_border.compression import CompressionError, decompress
 
-__all__ = ["CONFIGURATION_LIMIT_BYTES", "ConfigurationParts", "InvalidPartsError", "decompress"]
+__all__ = ["CONFIGURATION_LIMIT_BYTES", "ConfigurationParts", "InvalidPartsError"]
 
 # Largest configuration, uncompressed. Platforms bound the records of their stores to less.
 CONFIGURATION_LIMIT_BYTES = 4_194_304
@@ -21,7 +21,7 @@
     """The parts that have arrived, of the newest configuration of each of a few peers."""
 
     def __init__(self) -> None:
-        self._parts: dict[str, tuple[int, dict[int, bytes]]] = {}
+        self._parts: dict[str, tuple[tuple[int, int], dict[int, bytes]]] = {}
 
     def add(
         self, *, sender: str, revision: int, part: int, count: int, body: bytes
@@ -35,32 +35,19 @@
         """
         if not 0 <= part < count <= MAX_PARTS:
             raise InvalidPartsError(f"part {part} of {count}, at most {MAX_PARTS} are taken")
-        held_revision, parts = self._parts.pop(sender, (revision, {}))
-        if held_revision != revision:
+        kind = (revision, count)
+        held_kind, parts = self._parts.pop(sender, (kind, {}))
+        if held_kind != kind:
             parts = {}
         parts[part] = body
         if len(parts) < count:
-            self._parts[sender] = (revision, parts)
+            self._parts[sender] = (kind, parts)
             if len(self._parts) > MAX_SENDERS:
                 del self._parts[next(iter(self._parts))]
             return None
         self._parts.clear()
+        document = b"".join(parts[number] for number in range(count))
         try:
-            return decompress(b"".join(parts[number] for number in range(count)))
-        except KeyError as error:
-            raise InvalidPartsError(f"part {error} is missing") from error
-
-
-def decompress(body: bytes) -> bytes:
-    """Decompress a configuration.
-
-    :raises InvalidPartsError: when it is corrupt, or exceeds ``CONFIGURATION_LIMIT_BYTES``
-    """
-    decompressor = zlib.decompressobj()
-    try:
-        document = decompressor.decompress(body, CONFIGURATION_LIMIT_BYTES)
-    except zlib.error as error:
-        raise InvalidPartsError(str(error)) from error
-    if not decompressor.eof:
-        raise InvalidPartsError(f"cut off, or more than {CONFIGURATION_LIMIT_BYTES} bytes")
-    return document
+            return decompress(document, limit=CONFIGURATION_LIMIT_BYTES)
+        except CompressionError as error:
+            raise InvalidPartsError(str(error)) from error
