Derive what a call waited for where a stop refuses it

Two callers of `settle_unfit` named it, though the account of `awaiting` says so of every call; one source is enough. No behaviour and no check changes; stop_account, caller_connections, pipelining and front_decisions pass.

--- a/packages/dotterelgate-core/src/dotterelgate_core/asking.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/asking.py
@@ -19,7 +19,6 @@
     SlotRequest,
     WithdrawSlot,
 )
-from dotterelgate_core.stopping.awaiting import Awaited
 from dotterelgate_core.stopping.fitting import fits_stop, settle_unfit
 
 if TYPE_CHECKING:
@@ -159,7 +158,7 @@
     if not fits_stop(state, call_state, granted.now, slowdown=granted.grant.slowdown):
         # The owner counts the slot as used; the next load update corrects it.
         state.servers.changed.add(name)
-        return settle_unfit(call_state, Awaited.SLOT, granted.now)
+        return settle_unfit(state, call_state, granted.now)
     facts = {
         "owner": granted.owner,
         "slowdown": granted.grant.slowdown,
--- a/packages/dotterelgate-core/src/dotterelgate_core/binding.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/binding.py
@@ -20,7 +20,6 @@
 )
 from dotterelgate_core.retry_after import choose_retry_after
 from dotterelgate_core.slots import GrantSlot, SlotGrant
-from dotterelgate_core.stopping.awaiting import Awaited
 from dotterelgate_core.stopping.fitting import fits_stop, settle_unfit
 
 if TYPE_CHECKING:
@@ -89,7 +88,7 @@
     slowdown = chosen.view.estimate_slowdown(freed.now, 1.0)
     subqueue.take(waiting)
     if not fits_stop(state, call_state, freed.now, slowdown=slowdown):
-        return settle_unfit(call_state, Awaited.SLOT, freed.now)
+        return settle_unfit(state, call_state, freed.now)
     chosen.chosen_at = freed.now
     use_allowance(chosen, freed.now)
     if call_state.requester is not None:
--- a/packages/dotterelgate-core/src/dotterelgate_core/stopping/fitting.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/stopping/fitting.py
@@ -8,12 +8,12 @@
 from dotterelgate_core.calls import CALLER_NETWORK_SECONDS
 from dotterelgate_core.codes import Refusal, limit_to_attempt
 from dotterelgate_core.messages import CallSettled, Decision
+from dotterelgate_core.stopping.awaiting import find_awaited
 
 if TYPE_CHECKING:
     from dotterelgate_core.calls import CallState
     from dotterelgate_core.pipes import Message
     from dotterelgate_core.state import DaemonState
-    from dotterelgate_core.stopping.awaiting import Awaited
 
 __all__ = [
     "DELIVERY_SECONDS",
@@ -50,11 +50,9 @@
     return is_in_time and fits_stop(state, call_state, now)
 
 
-def settle_unfit(call_state: CallState, awaited: Awaited, now: float) -> list[Message]:
-    """Refuse a call that was not dispatched and can't be answered before the stop.
-
-    :param awaited: what it waited for
-    """
+def settle_unfit(state: DaemonState, call_state: CallState, now: float) -> list[Message]:
+    """Refuse a call that was not dispatched and can't be answered before the stop."""
+    awaited = find_awaited(state, call_state)
     call_state.queued = False
     reason = f"the daemon stops before it can be served; it waited for {awaited.value}"
     return settle_for_stop(call_state, refuse_for_stop(call_state, reason), now, ran=False)
--- a/packages/dotterelgate-core/src/dotterelgate_core/stopping/settling.py
+++ b/packages/dotterelgate-core/src/dotterelgate_core/stopping/settling.py
@@ -54,7 +54,7 @@
     for call_state in list(state.calls.states.values()):
         awaited = find_awaited(state, call_state)
         if awaited.is_before_dispatch and not fits_stop(state, call_state, now):
-            messages += settle_unfit(call_state, awaited, now)
+            messages += settle_unfit(state, call_state, now)
     if now + DELIVERY_SECONDS > state.stop.ends_at:
         # Their calls get a refusal that says so, and nothing is sent late.
         messages += fail_unsent_attempts(
@@ -70,7 +70,7 @@
         if awaited.is_dispatched:
             messages += _end_dispatched(state, call_state, awaited, now)
         else:
-            messages += settle_unfit(call_state, awaited, now)
+            messages += settle_unfit(state, call_state, now)
     return messages
 
 
