Count three seconds from the answer that said it leaves

Change: the step sends reads for all slots and requires that an answer carried the report, which the stand-in counts; the 3 s begin after that. What is checked after them is unchanged.

Ruled out: more callers of the same kind (15) did not reach the server within 10 s in two of two runs, and counting its runs instead of reports misses one answered in between (once in three runs).

--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from steps.stop_steps import start_load
@@ -15,6 +16,8 @@
 
 FIRST_SEED = 900
 SLOTS = 3
+# Time that a read holds its slot, so that the reads for all slots are at work together.
+FILLING_MS = 300
 ROUNDING = 1e-9
 UNREACHABLE = "127.0.0.1:1"
 
@@ -56,6 +59,21 @@
         system.fleet.set_vm_state(server, "leaving")
     else:
         system.fleet.set_faults(system.fleet.servers[server], draining=True)
+        wait_for_report(context, server)
+
+
+def wait_for_report(context, server):
+    """Wait until a backend server has reported in an answer that it is leaving.
+
+    Under little load it may get no request for some seconds. Reads for all slots leave it some.
+    """
+    system = context.system
+    slots = SLOTS * len(system.fleet.servers)
+    entry = next(iter(system.fleet.daemons))
+    with ThreadPoolExecutor(slots) as callers:
+        for _ in range(slots):
+            callers.submit(system.request, entry, "GET", f"/stock/1?ms={FILLING_MS}")
+    assert system.fleet.read_ledger(server)["draining_reports"], f"{server} answered no read"
 
 
 @when("the list of VMs goes down")
--- a/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
+++ b/packages/dotterelgate-bench/src/dotterelgate_bench/backend.py
@@ -59,6 +59,7 @@
 
     :param cold_seconds: seconds after the start in which requests take three times as long
     :param probes: wall-clock second and service time of each probe
+    :param draining_reports: answers in which it reported that it is draining
     """
 
     streams: StreamService
@@ -74,6 +75,7 @@
     waiting: deque[Callable[[], None]] = field(default_factory=deque)
     busy: int = 0
     probes: list[tuple[float, float]] = field(default_factory=list)
+    draining_reports: int = 0
 
     def __post_init__(self) -> None:
         self._random = Random(self.seed)
@@ -92,7 +94,11 @@
                 setattr(self.faults, name, value)
             answer_json(request, self.faults.__dict__)
         elif request.path == "/_ledger":
-            totals = {"probes": self.probes, "connections": self._server.accepted}
+            totals = {
+                "probes": self.probes,
+                "connections": self._server.accepted,
+                "draining_reports": self.draining_reports,
+            }
             answer_json(request, {"name": self.name, "ran": self.ledger, **totals})
         elif request.path == "/_probe":
             self._probe(request)
@@ -197,6 +203,7 @@
     def _build_report(self) -> list[tuple[bytes, bytes]]:
         headers = [(b"server-in-flight", b"%d" % (self.busy + len(self.waiting)))]
         if self.faults.draining:
+            self.draining_reports += 1
             headers.append((b"server-state", b"draining"))
         return headers
 
