--- a/review/rig_3/system.py
+++ b/review/rig_3/system.py
@@ -160,6 +160,10 @@
     answer: Message | None = None
     error: str = ""
 
+    @property
+    def seconds(self) -> float:
+        return self.ended_at - self.sent_at
+
     def __str__(self) -> str:
         status = self.answer.status if self.answer is not None else f"no answer {self.error}"
         return f"{self.request_id}: {status} after {self.ended_at - self.sent_at:.3f} s"
@@ -176,7 +180,7 @@
     body: bytes = b"",
     more: str = "",
 ) -> Outcome:
-    """Send one request on a new connection, and wait for its answer until its deadline."""
+    """Send one request on a new connection, and wait until half a second after its deadline."""
     outcome = Outcome(request_id, time.monotonic())
     writer = None
     try:
